--- /dev/null
+++ b/cmd/turmericspread/main.go
@@ -0,0 +1,18 @@
+// Command turmericspread runs entry processes and talks to them.
+//
+// # Usage
+//
+//	turmericspread serve --settings entry.ini
+//	turmericspread --help
+package main
+
+import (
+	"context"
+	"os"
+
+	"turmericspread.org/turmericspread/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,143 @@
+// Package cli holds the commands of turmericspread, one file each.
+//
+// # Usage
+//
+//	os.Exit(cli.Main(os.Args[1:]))
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"turmericspread.org/turmericspread/pkg/client"
+)
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFailed   = 1 // the call or the job failed
+	exitBadInput = 2 // settings, tables, arguments or the request are wrong
+	exitNotRun   = 3 // nothing was run; the call may be repeated
+	exitUnknown  = 4 // the call may have taken effect
+)
+
+// badInput marks errors of the user's input.
+type badInput struct{ error }
+
+// Unwrap returns the error marked.
+func (e badInput) Unwrap() error { return e.error }
+
+// errJobFailed ends a wait for a job that did not succeed.
+var errJobFailed = errors.New("the job did not succeed")
+
+// options are the flags that all commands share.
+type options struct {
+	address string
+	key     string
+	output  string
+	stdout  io.Writer
+}
+
+func (o *options) client() *client.Client { return &client.Client{Address: o.address, Key: o.key} }
+
+// print writes value as JSON, or calls table for people.
+func (o *options) print(value any, table func(w io.Writer)) error {
+	if o.output == "json" || table == nil {
+		enc := json.NewEncoder(o.stdout)
+		enc.SetIndent("", "  ")
+		return enc.Encode(value)
+	}
+	w := tabwriter.NewWriter(o.stdout, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// Main runs the command line and returns the exit status.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	opts := &options{stdout: stdout}
+	root := newRootCmd(opts)
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintln(stderr, "error:", err)
+	return exitStatus(err)
+}
+
+func exitStatus(err error) int {
+	var refused *client.Error
+	var bad badInput
+	switch {
+	case errors.As(err, &bad):
+		return exitBadInput
+	case errors.Is(err, errJobFailed):
+		return exitFailed
+	case errors.As(err, &refused):
+		switch {
+		case refused.Outcome == client.OutcomeUnknown:
+			return exitUnknown
+		case refused.Status >= 400 && refused.Status < 500:
+			return exitBadInput
+		}
+		return exitNotRun
+	}
+	return exitFailed
+}
+
+func newRootCmd(opts *options) *cobra.Command {
+	root := &cobra.Command{
+		Use:   "turmericspread",
+		Short: "Schedule unlike work onto one shared cell",
+		Long: `turmericspread schedules requests, services, batch jobs and gangs onto one cell.
+
+Exit statuses: 0 success, 1 the call or job failed, 2 bad input,
+3 nothing was run, 4 the outcome is unknown.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) error {
+			if opts.output != "table" && opts.output != "json" {
+				return badInput{fmt.Errorf("flag --output: value %q: allowed: table, json", opts.output)}
+			}
+			return nil
+		},
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&opts.address, "address", envOr("TURMERICSPREAD_ADDRESS", "127.0.0.1:17020"), "entry host to call (TURMERICSPREAD_ADDRESS)")
+	flags.StringVar(&opts.key, "key", os.Getenv("TURMERICSPREAD_KEY"), "team key or operator key (TURMERICSPREAD_KEY)")
+	flags.StringVarP(&opts.output, "output", "o", "table", "output format: table or json")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput{err} })
+	root.AddCommand(
+		newServeCmd(opts), newCheckCmd(opts), newSettingsCmd(opts), newVersionCmd(opts),
+		newSubmitCmd(opts), newJobCmd(opts), newWaitCmd(opts), newCancelCmd(opts), newRequestCmd(opts),
+		newTablesCmd(opts), newRouteCmd(opts), newPoolCmd(opts), newTeamCmd(opts), newKeyCmd(opts),
+		newStatusCmd(opts), newDumpCmd(opts),
+	)
+	return root
+}
+
+func envOr(name, def string) string {
+	if value, ok := os.LookupEnv(name); ok {
+		return value
+	}
+	return def
+}
+
+// exactly checks the number of arguments and names what is expected.
+func exactly(n int) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if len(args) != n {
+			return badInput{fmt.Errorf("%s: %d arguments given, expected: %s", cmd.Name(), len(args), cmd.UseLine())}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,77 @@
+// Package control runs the one goroutine that owns a process's control state.
+//
+// # Usage
+//
+//	loop := control.New()
+//	go loop.Run(ctx)
+//	loop.Post(func() { state.apply(event) })
+//	err := loop.Call(ctx, func() { answer = state.read() })
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("control")
+
+// Loop executes functions one at a time in the order they were posted.
+type Loop struct {
+	mu    sync.Mutex
+	queue []func()
+	wake  chan struct{}
+}
+
+// New returns a Loop that does not run yet.
+func New() *Loop { return &Loop{wake: make(chan struct{}, 1)} }
+
+// Post queues fn. It never blocks.
+func (l *Loop) Post(fn func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, fn)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Call queues fn and waits until it has run or ctx ends.
+func (l *Loop) Call(ctx context.Context, fn func()) (err error) {
+	defer Error.WrapP(&err)
+	done := make(chan struct{})
+	l.Post(func() {
+		defer close(done)
+		fn()
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Run executes queued functions until ctx ends.
+func (l *Loop) Run(ctx context.Context) {
+	for {
+		l.mu.Lock()
+		batch := l.queue
+		l.queue = nil
+		l.mu.Unlock()
+		for _, fn := range batch {
+			fn()
+		}
+		if len(batch) > 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/command.go
@@ -0,0 +1,98 @@
+// Package demo holds the commands of the stand-in program: the stand-ins as
+// processes, and a demo of the whole system inside one process.
+//
+// # Usage
+//
+//	os.Exit(demo.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"turmericspread.org/turmericspread/internal/standin"
+)
+
+// Main runs the command line and returns the exit status.
+func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	const failed, badInput = 1, 2
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	status := failed
+	root := &cobra.Command{Use: "standin", Short: "Stand-ins for the platform", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(newDemoCmd(stdout), newRunCmd(stdout, func() { status = badInput }))
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	if err := root.ExecuteContext(ctx); err != nil {
+		_, _ = fmt.Fprintln(stderr, "error:", err)
+		return status
+	}
+	return 0
+}
+
+var parts = []string{"store", "host-list", "workers", "minions"}
+
+func newRunCmd(stdout io.Writer, markBad func()) *cobra.Command {
+	var file string
+	var only []string
+	cmd := &cobra.Command{
+		Use:   "run --cell FILE",
+		Short: "Run the stand-ins of a cell until a signal",
+		Example: `  standin run --cell examples/co-operative/cell.ini
+  standin run --cell examples/co-operative/cell.ini --only store,host-list`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cell, err := standin.LoadCell(file)
+			if err != nil {
+				markBad()
+				return err
+			}
+			for _, part := range only {
+				if !slices.Contains(parts, part) {
+					markBad()
+					return fmt.Errorf("flag --only: value %q: allowed: %s", part, strings.Join(parts, ", "))
+				}
+			}
+			running := &standin.Running{}
+			defer running.Stop()
+			if err := startParts(cmd.Context(), cell, running, only); err != nil {
+				return err
+			}
+			_, _ = fmt.Fprintln(stdout, "running:", strings.Join(only, ", "))
+			<-cmd.Context().Done()
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&file, "cell", "", "cell file")
+	cmd.Flags().StringSliceVar(&only, "only", parts, "stand-ins to run")
+	_ = cmd.MarkFlagRequired("cell")
+	return cmd
+}
+
+func startParts(ctx context.Context, cell *standin.Cell, running *standin.Running, only []string) (err error) {
+	for _, part := range only {
+		switch part {
+		case "store":
+			err = cell.StartStore(running)
+		case "host-list":
+			err = cell.StartHostList(running)
+		case "workers":
+			err = cell.StartWorkers(ctx, running)
+		case "minions":
+			err = cell.StartMinions(running)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,395 @@
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"turmericspread.org/turmericspread/examples"
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/entry"
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/settings"
+	"turmericspread.org/turmericspread/internal/standin"
+	"turmericspread.org/turmericspread/pkg/client"
+)
+
+// operatorKey is the operator key of the demo's entry hosts.
+const operatorKey = "operator-demo-key"
+
+// demoLimit bounds the whole demo.
+const demoLimit = 28 * time.Second
+
+func newDemoCmd(stdout io.Writer) *cobra.Command {
+	var stay bool
+	cmd := &cobra.Command{
+		Use:     "demo",
+		Short:   "Run a whole cell in this process and show what it does",
+		Example: "  standin demo\n  standin demo --stay",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d := &demo{stdout: stdout}
+			defer d.stop()
+			ctx, cancel := context.WithTimeout(cmd.Context(), demoLimit)
+			defer cancel()
+			if err := d.run(ctx); err != nil {
+				return err
+			}
+			if stay {
+				d.invite()
+				<-cmd.Context().Done()
+			}
+			return nil
+		},
+	}
+	cmd.Flags().BoolVar(&stay, "stay", false, "keep the cell up and print its addresses and a key")
+	return cmd
+}
+
+type demo struct {
+	stdout   io.Writer
+	cell     *standin.Cell
+	running  *standin.Running
+	entries  []*entry.Entry
+	done     []chan error
+	cancel   context.CancelFunc
+	operator *client.Client
+	callers  []*client.Client // one an entry host
+	key      string
+	failed   bool
+}
+
+func (d *demo) run(ctx context.Context) (err error) {
+	if err := d.start(); err != nil {
+		return err
+	}
+	if err := d.load(ctx); err != nil {
+		return err
+	}
+	d.step("request", func() (string, error) { return d.request(ctx) })
+	d.step("batch", func() (string, error) { return d.batch(ctx) })
+	var service string
+	d.step("service", func() (out string, err error) { service, out, err = d.service(ctx); return out, err })
+	d.step("gang", func() (string, error) { return d.gang(ctx) })
+	d.step("cancel", func() (string, error) { return d.cancelJob(ctx, service) })
+	if d.failed {
+		return errors.New("a step of the demo failed")
+	}
+	return nil
+}
+
+func (d *demo) step(name string, fn func() (string, error)) {
+	start := time.Now()
+	out, err := fn()
+	if err != nil {
+		d.failed = true
+		out = "FAILED: " + err.Error()
+	}
+	_, _ = fmt.Fprintf(d.stdout, "%-8s %6.2fs  %s\n", name, time.Since(start).Seconds(), out)
+}
+
+// start starts the stand-ins and an entry process for each entry host of the cell.
+func (d *demo) start() (err error) {
+	data, err := examples.Files.ReadFile("demo/cell.ini")
+	if err != nil {
+		return err
+	}
+	if d.cell, err = standin.ParseCell("demo/cell.ini", data); err != nil {
+		return err
+	}
+	if err := freePorts(d.cell); err != nil {
+		return err
+	}
+	if d.running, err = d.cell.Start(context.Background()); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	for _, host := range d.cell.Entries {
+		set, err := entrySettings(d.cell, host)
+		if err != nil {
+			return err
+		}
+		e := entry.New(set, event.NewLogger(os.Stderr, "warn", "text"))
+		done := make(chan error, 1)
+		go func() { done <- e.Run(ctx) }()
+		d.entries, d.done = append(d.entries, e), append(d.done, done)
+		d.callers = append(d.callers, &client.Client{Address: host.HTTPAddress})
+	}
+	d.operator = &client.Client{Address: d.cell.Entries[0].HTTPAddress, Key: operatorKey}
+	return nil
+}
+
+// entrySettings returns the settings of an entry host of a cell of stand-ins.
+func entrySettings(cell *standin.Cell, host standin.EntryHost) (set settings.Settings, err error) {
+	var peers []string
+	for _, other := range cell.Entries {
+		peers = append(peers, other.PeerAddress)
+	}
+	return settings.Parse(host.Name+".ini", fmt.Appendf(nil, `[entry]
+name = %s
+place = %s
+http-address = %s
+peer-address = %s
+peers = %s
+[store]
+address = %s
+[host-list]
+address = %s
+[operator]
+key-hash = %s
+`, host.Name, host.Place, host.HTTPAddress, host.PeerAddress, strings.Join(peers, ","),
+		cell.StoreAddress, cell.HostListAddress, config.HashKey(operatorKey)))
+}
+
+// freePorts replaces the addresses of a cell by free ones on loopback.
+func freePorts(cell *standin.Cell) (err error) {
+	minions := 0
+	for _, host := range cell.Hosts {
+		if host.Kind == "minion" {
+			minions++
+		}
+	}
+	targets := []*string{&cell.StoreAddress, &cell.HostListAddress, &cell.WorkersAddress}
+	for i := range cell.Entries {
+		targets = append(targets, &cell.Entries[i].HTTPAddress, &cell.Entries[i].PeerAddress)
+	}
+	for _, target := range targets {
+		if *target, err = freeAddress(1); err != nil {
+			return err
+		}
+	}
+	if cell.MinionsAddress, err = freeAddress(minions); err != nil {
+		return err
+	}
+	cell.Place()
+	return nil
+}
+
+// freeAddress returns an address on loopback with n free ports from there on.
+func freeAddress(n int) (address string, err error) {
+	const tries = 100
+	for range tries {
+		first, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		address = first.Addr().String()
+		base := first.Addr().(*net.TCPAddr).Port
+		held := []net.Listener{first}
+		for i := 1; i < n && err == nil; i++ {
+			var next net.Listener
+			next, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
+			if err == nil {
+				held = append(held, next)
+			}
+		}
+		for _, listener := range held {
+			_ = listener.Close()
+		}
+		if err == nil {
+			return address, nil
+		}
+	}
+	return "", errors.New("no free ports on loopback")
+}
+
+// load puts the example tables in force and grants a key.
+func (d *demo) load(ctx context.Context) (err error) {
+	data, err := examples.Files.ReadFile("demo/tables.ini")
+	if err != nil {
+		return err
+	}
+	tables, err := config.Parse("demo/tables.ini", data)
+	if err != nil {
+		return err
+	}
+	err = retry(ctx, func() error {
+		current := config.New()
+		if err := d.operator.Call(ctx, http.MethodGet, "/v1/config", nil, current); err != nil {
+			return err
+		}
+		tables.Version = current.Version
+		return d.operator.Call(ctx, http.MethodPut, "/v1/config", tables, nil)
+	})
+	if err != nil {
+		return err
+	}
+	var granted struct {
+		Key     string `json:"key"`
+		Version int64  `json:"version"`
+	}
+	body := struct {
+		Team string `json:"team"`
+	}{"settlement"}
+	if err := d.operator.Call(ctx, http.MethodPost, "/v1/keys", body, &granted); err != nil {
+		return err
+	}
+	d.key = granted.Key
+	for _, caller := range d.callers {
+		caller.Key = d.key
+	}
+	return d.await(ctx, granted.Version)
+}
+
+// await waits until every entry process has the version in force and every
+// shard has an owner that is done with taking it over.
+func (d *demo) await(ctx context.Context, version int64) (err error) {
+	for _, caller := range d.callers {
+		err = retry(ctx, func() error {
+			operator := &client.Client{Address: caller.Address, Key: operatorKey}
+			var status entry.Status
+			if err := operator.Call(ctx, http.MethodGet, "/v1/status", nil, &status); err != nil {
+				return err
+			}
+			if status.ConfigVersion < version {
+				return fmt.Errorf("%s has version %d", caller.Address, status.ConfigVersion)
+			}
+			if len(status.Shards) == 0 {
+				return errors.New("no shards yet")
+			}
+			for _, sh := range status.Shards {
+				if sh.Owner == "" {
+					return fmt.Errorf("shard %s has no owner", sh.Shard)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func retry(ctx context.Context, fn func() error) (err error) {
+	const period = 100 * time.Millisecond
+	for {
+		err = fn()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(period):
+		}
+	}
+}
+
+func (d *demo) caller(i int) *client.Client { return d.callers[i%len(d.callers)] }
+
+func (d *demo) request(ctx context.Context) (out string, err error) {
+	var answer *client.Answer
+	err = retry(ctx, func() (err error) {
+		answer, err = d.caller(0).Request(ctx, "bid", []byte(`{"lot":7,"price":120}`))
+		return err
+	})
+	if err != nil {
+		return "", err
+	}
+	return "done: " + string(answer.Body), nil
+}
+
+func (d *demo) batch(ctx context.Context) (out string, err error) {
+	spec := client.Spec{
+		Route: "report", Tasks: 6, Want: client.Resources{MilliCores: 500, MemoryMB: 256},
+		Payload: json.RawMessage(`{"sleep-ms":200,"output":"priced"}`),
+	}
+	job, err := d.caller(0).Submit(ctx, spec)
+	if err != nil {
+		return "", err
+	}
+	job, err = d.caller(1).Wait(ctx, job.ID)
+	if err != nil {
+		return "", err
+	}
+	if job.State != "done" {
+		return "", fmt.Errorf("job is %s: %s", job.State, job.Reason)
+	}
+	return fmt.Sprintf("done: job %s, %d tasks, result read from another entry host", job.ID, job.Counts["done"]), nil
+}
+
+func (d *demo) service(ctx context.Context) (id, out string, err error) {
+	spec := client.Spec{
+		Route: "watch", Tasks: 3, Want: client.Resources{MilliCores: 250, MemoryMB: 128},
+		Payload: json.RawMessage(`{"forever":true}`),
+	}
+	job, err := d.caller(1).Submit(ctx, spec)
+	if err != nil {
+		return "", "", err
+	}
+	id = job.ID
+	err = retry(ctx, func() (err error) {
+		job, err = d.caller(2).Get(ctx, id)
+		if err == nil && job.Counts["running"] < spec.Tasks {
+			err = fmt.Errorf("%d of %d tasks run: %s", job.Counts["running"], spec.Tasks, job.Reason)
+		}
+		return err
+	})
+	return id, fmt.Sprintf("done: %d tasks of %s kept running", job.Counts["running"], id), err
+}
+
+func (d *demo) gang(ctx context.Context) (out string, err error) {
+	spec := client.Spec{
+		Route: "match", Tasks: 12, Want: client.Resources{MilliCores: 4000, MemoryMB: 1024},
+		Payload: json.RawMessage(`{"sleep-ms":300,"output":"matched"}`),
+	}
+	job, err := d.caller(2).Submit(ctx, spec)
+	if err != nil {
+		return "", err
+	}
+	job, err = d.caller(0).Wait(ctx, job.ID)
+	if err != nil {
+		return "", err
+	}
+	if job.State != "done" {
+		return "", fmt.Errorf("job is %s: %s", job.State, job.Reason)
+	}
+	return fmt.Sprintf("done: gang %s ran all %d tasks together", job.ID, job.Counts["done"]), nil
+}
+
+func (d *demo) cancelJob(ctx context.Context, id string) (out string, err error) {
+	if _, err = d.caller(0).Cancel(ctx, id); err != nil {
+		return "", err
+	}
+	job, err := d.caller(1).Wait(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	running := d.running.Workers.Stats().Running
+	if job.State != "cancelled" || running != 0 {
+		return "", fmt.Errorf("job is %s, %d tasks run", job.State, running)
+	}
+	return fmt.Sprintf("done: %s is cancelled, nothing of it runs", id), nil
+}
+
+// invite prints what one needs to try the cell.
+func (d *demo) invite() {
+	_, _ = fmt.Fprintf(d.stdout, "\nThe cell stays up; end it with an interrupt. Try:\n")
+	_, _ = fmt.Fprintf(d.stdout, "  export TURMERICSPREAD_ADDRESS=%s\n  export TURMERICSPREAD_KEY=%s\n", d.callers[0].Address, d.key)
+	_, _ = fmt.Fprintf(d.stdout, "  go run ./cmd/turmericspread request bid --body '{\"lot\":7}'\n")
+	_, _ = fmt.Fprintf(d.stdout, "  go run ./cmd/turmericspread submit report --tasks 4 --wait\n")
+	_, _ = fmt.Fprintf(d.stdout, "  go run ./cmd/turmericspread status --key %s\n", operatorKey)
+}
+
+func (d *demo) stop() {
+	if d.cancel != nil {
+		d.cancel()
+	}
+	for _, done := range d.done {
+		<-done
+	}
+	if d.running != nil {
+		d.running.Stop()
+	}
+}
--- /dev/null
+++ b/internal/entry/api.go
@@ -0,0 +1,298 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/httpserve"
+	"turmericspread.org/turmericspread/internal/inifile"
+	"turmericspread.org/turmericspread/internal/job"
+	"turmericspread.org/turmericspread/internal/slot"
+)
+
+// Headers of answers to callers.
+const (
+	HeaderOutcome   = "X-Outcome"
+	HeaderRequestID = "X-Request-Id"
+	headerTimeout   = "X-Timeout-Ms"
+)
+
+// errorBody is the body of every refusal.
+type errorBody struct {
+	Error   string `json:"error"`
+	Reason  string `json:"reason"`
+	Outcome string `json:"outcome,omitempty"`
+	Job     string `json:"job,omitempty"`
+}
+
+// routes registers the paths for callers and operators.
+func (e *Entry) routes(srv *server.Hertz) {
+	srv.POST("/v1/requests/:route", e.asTeam(e.apiRequest))
+	srv.POST("/v1/jobs", e.asTeam(e.apiSubmit))
+	srv.GET("/v1/jobs/:job", e.asTeam(e.apiGet))
+	srv.POST("/v1/jobs/:job/cancel", e.asTeam(e.apiCancel))
+	srv.GET("/v1/config", e.asOperator(e.apiConfig))
+	srv.PUT("/v1/config", e.asOperator(e.apiReplace))
+	srv.POST("/v1/keys", e.asOperator(e.apiGrant))
+	srv.DELETE("/v1/keys/:key", e.asOperator(e.apiWithdraw))
+	srv.GET("/v1/status", e.asOperator(e.apiStatus))
+	srv.GET("/v1/dump", e.asOperator(e.apiDump))
+	srv.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+		e.publish()
+		metrics.WritePrometheus(c.Response.BodyWriter(), true)
+	})
+	srv.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
+	srv.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if !e.ready.Load() {
+			c.SetStatusCode(503)
+		}
+	})
+	srv.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		refuse(c, 404, "not-found", "no such path")
+	})
+}
+
+func refuse(c *app.RequestContext, status int, code, reason string) {
+	c.Response.Header.Set(HeaderOutcome, string(slot.OutcomeNotRun))
+	httpserve.JSON(c, status, errorBody{Error: code, Reason: reason, Outcome: string(slot.OutcomeNotRun)})
+}
+
+func refuseUnknown(c *app.RequestContext, status int, reason, jobID string) {
+	c.Response.Header.Set(HeaderOutcome, string(slot.OutcomeUnknown))
+	httpserve.JSON(c, status, errorBody{Error: "unknown", Reason: reason, Outcome: string(slot.OutcomeUnknown), Job: jobID})
+}
+
+func bearer(c *app.RequestContext) string {
+	token, _ := strings.CutPrefix(string(c.Request.Header.Peek("Authorization")), "Bearer ")
+	return token
+}
+
+// asTeam calls next with the team whose key came with the request.
+func (e *Entry) asTeam(next func(ctx context.Context, c *app.RequestContext, team string)) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		team, err := e.tables.Load().Authenticate(bearer(c))
+		if err != nil {
+			refuse(c, 401, "unauthorized", "unknown or withdrawn key")
+			return
+		}
+		next(ctx, c, team)
+	}
+}
+
+func (e *Entry) asOperator(next app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		if !config.HashMatches(e.Settings.Operator.KeyHash, bearer(c)) {
+			refuse(c, 401, "unauthorized", "this needs the operator key")
+			return
+		}
+		next(ctx, c)
+	}
+}
+
+func (e *Entry) apiRequest(ctx context.Context, c *app.RequestContext, team string) {
+	route := c.Param("route")
+	pool, err := e.tables.Load().PoolOf(route)
+	if err != nil {
+		refuse(c, 404, "unknown-route", "no route "+route)
+		return
+	}
+	if pool.Kind != config.KindRequest {
+		refuse(c, 400, "bad-request", "route "+route+" runs jobs: submit to /v1/jobs")
+		return
+	}
+	timeout, err := callerTimeout(c, pool.Timeout())
+	if err != nil {
+		refuse(c, 400, "bad-request", headerTimeout+" must be a positive number of milliseconds")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	id := newID()
+	c.Response.Header.Set(HeaderRequestID, id)
+	body := append([]byte(nil), c.Request.Body()...)
+	answer := e.forward(ctx, pool, slot.Request{ID: id, Team: team, Route: route, Body: body})
+	c.Response.Header.Set(HeaderOutcome, string(answer.Outcome))
+	switch answer.Outcome {
+	case slot.OutcomeDone:
+		c.Data(answer.Status, answer.ContentType, answer.Body)
+	case slot.OutcomeNotRun:
+		c.Response.Header.Set("Retry-After", "1")
+		refuse(c, 503, "not-run", answer.Reason)
+	default:
+		refuseUnknown(c, 504, answer.Reason, "")
+	}
+}
+
+func callerTimeout(c *app.RequestContext, limit time.Duration) (timeout time.Duration, err error) {
+	value := string(c.Request.Header.Peek(headerTimeout))
+	if value == "" {
+		return limit, nil
+	}
+	timeout, err = time.ParseDuration(value + "ms")
+	if err != nil || timeout <= 0 {
+		return 0, Error.New("bad %s %q", headerTimeout, value)
+	}
+	return min(timeout, limit), nil
+}
+
+func (e *Entry) apiSubmit(ctx context.Context, c *app.RequestContext, team string) {
+	var spec job.Spec
+	if err := httpserve.Decode(c, &spec); err != nil {
+		refuse(c, 400, "bad-request", "the body is not a job: "+err.Error())
+		return
+	}
+	name := spec.SubmissionID
+	if name == "" {
+		name = newID()
+	}
+	if !validSubmission(name) {
+		refuse(c, 400, "bad-request", "submission-id must be 1 to 40 of a-z, 0-9 and -")
+		return
+	}
+	id := team + "." + name
+	ctx, cancel := context.WithTimeout(ctx, teamTimeout)
+	defer cancel()
+	reply, err := callTeam(ctx, e, team, callSubmit, &job.SubmitRequest{Team: team, ID: id, Spec: spec}, e.handleSubmit)
+	e.answerJob(c, team, id, reply, err, 202)
+}
+
+func validSubmission(name string) bool {
+	return inifile.ValidName("s"+name[:min(len(name), 39)]) && len(name) <= 40
+}
+
+func (e *Entry) apiGet(ctx context.Context, c *app.RequestContext, team string) {
+	ref, ok := jobRef(c, team)
+	if !ok {
+		return
+	}
+	wait, err := time.ParseDuration(c.DefaultQuery("wait", "0s"))
+	const maxWait = time.Minute
+	if err != nil || wait < 0 || wait > maxWait {
+		refuse(c, 400, "bad-request", "wait must be a duration from 0s to 1m")
+		return
+	}
+	ref.WaitMS = wait.Milliseconds()
+	ctx, cancel := context.WithTimeout(ctx, wait+teamTimeout)
+	defer cancel()
+	reply, err := callTeam(ctx, e, team, callGet, &ref, e.handleGet)
+	e.answerJob(c, team, ref.ID, reply, err, 200)
+}
+
+func (e *Entry) apiCancel(ctx context.Context, c *app.RequestContext, team string) {
+	ref, ok := jobRef(c, team)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, teamTimeout)
+	defer cancel()
+	reply, err := callTeam(ctx, e, team, callCancel, &ref, e.handleCancel)
+	e.answerJob(c, team, ref.ID, reply, err, 200)
+}
+
+// jobRef names the job of the path; a job of another team does not exist for the caller.
+func jobRef(c *app.RequestContext, team string) (ref job.Ref, ok bool) {
+	id := c.Param("job")
+	if !strings.HasPrefix(id, team+".") {
+		refuse(c, 404, string(job.RefusedNotFound), "no such job")
+		return job.Ref{}, false
+	}
+	return job.Ref{Team: team, ID: id}, true
+}
+
+func (e *Entry) answerJob(c *app.RequestContext, team, id string, reply *job.Reply, err error, status int) {
+	switch {
+	case err != nil && !unsent(err):
+		refuseUnknown(c, 504, err.Error(), id)
+	case err != nil:
+		refuse(c, 503, "not-run", err.Error())
+	case reply.Refused != "":
+		refuse(c, refusalStatus(reply.Refused), string(reply.Refused), reply.Reason)
+	default:
+		reply.Job.Team = team
+		c.Response.Header.Set(HeaderOutcome, string(slot.OutcomeDone))
+		httpserve.JSON(c, status, reply.Job)
+	}
+}
+
+func refusalStatus(code job.RefusalCode) int {
+	switch code {
+	case job.RefusedNotFound:
+		return 404
+	case job.RefusedBadRequest:
+		return 400
+	case job.RefusedImpossible:
+		return 422
+	}
+	return 503
+}
+
+func (e *Entry) apiConfig(_ context.Context, c *app.RequestContext) {
+	httpserve.JSON(c, 200, e.tables.Load())
+}
+
+// apiReplace puts new tables in force, if they are based on the version in force.
+func (e *Entry) apiReplace(ctx context.Context, c *app.RequestContext) {
+	tables := config.New()
+	if err := json.Unmarshal(c.Request.Body(), tables); err != nil {
+		refuse(c, 400, "bad-request", "the body is not a set of tables: "+err.Error())
+		return
+	}
+	e.answerEdit(ctx, c, func(current *config.Tables) error {
+		if current.Version != tables.Version {
+			return &raceError{Saw: tables.Version, Current: current.Version, Diff: config.Diff(current, tables)}
+		}
+		// Keys change by grant and withdraw alone.
+		keys := current.Keys
+		*current = *tables
+		current.Keys = keys
+		return nil
+	})
+}
+
+func (e *Entry) apiGrant(ctx context.Context, c *app.RequestContext) {
+	var body struct {
+		Team string `json:"team"`
+	}
+	if err := httpserve.Decode(c, &body); err != nil {
+		refuse(c, 400, "bad-request", "the body must name a team")
+		return
+	}
+	var granted struct {
+		ID      string `json:"id"`
+		Key     string `json:"key"`
+		Team    string `json:"team"`
+		Version int64  `json:"version"`
+	}
+	granted.Team = body.Team
+	version, err := e.edit(ctx, func(tables *config.Tables) (err error) {
+		granted.ID, granted.Key, err = tables.Grant(body.Team)
+		return err
+	})
+	granted.Version = version
+	answerEdited(c, granted, err)
+}
+
+func (e *Entry) apiWithdraw(ctx context.Context, c *app.RequestContext) {
+	id := c.Param("key")
+	e.answerEdit(ctx, c, func(tables *config.Tables) error {
+		if _, ok := tables.Keys[id]; !ok {
+			return &editError{"no key " + id}
+		}
+		delete(tables.Keys, id)
+		return nil
+	})
+}
+
+func (e *Entry) answerEdit(ctx context.Context, c *app.RequestContext, change func(tables *config.Tables) error) {
+	version, err := e.edit(ctx, change)
+	answerEdited(c, struct {
+		Version int64 `json:"version"`
+	}{version}, err)
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,288 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/job"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/slot"
+)
+
+const (
+	// rackTimeout bounds a call to the owner of a rack: two calls to a worker
+	// and some waiting.
+	rackTimeout = 6 * time.Second
+	// teamTimeout bounds how long a caller's submission waits for its owner.
+	teamTimeout = 10 * time.Second
+	// ownerRetry is the time between two tries to find the owner of a shard.
+	ownerRetry = 50 * time.Millisecond
+)
+
+// errNoOwner means that no live process owns the shard at present.
+var errNoOwner = peer.ErrUnreachable.New("the shard has no live owner")
+
+// mux registers the calls that this process answers.
+func (e *Entry) mux() *peer.Mux {
+	mux := peer.NewMux()
+	peer.Handle(mux, callHeartbeat, e.handleHeartbeat)
+	peer.Handle(mux, callConfig, e.handleConfig)
+	peer.Handle(mux, callPlace, e.handlePlace)
+	peer.Handle(mux, callStartHeld, e.handleStartHeld)
+	peer.Handle(mux, callStop, e.handleStop)
+	peer.Handle(mux, callReport, e.handleReport)
+	peer.Handle(mux, callEnded, e.handleEnded)
+	peer.Handle(mux, callSubmit, e.handleSubmit)
+	peer.Handle(mux, callGet, e.handleGet)
+	peer.Handle(mux, callCancel, e.handleCancel)
+	peer.Handle(mux, callServe, e.handleServe)
+	return mux
+}
+
+// await runs start on the control goroutine and waits for the value it replies with.
+func await[T any](ctx context.Context, e *Entry, start func(now time.Time, reply func(T))) (value *T, err error) {
+	answers := make(chan T, 1)
+	e.loop.Post(func() {
+		start(time.Now(), func(v T) {
+			select {
+			case answers <- v:
+			default:
+			}
+		})
+	})
+	select {
+	case v := <-answers:
+		return &v, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (e *Entry) handleConfig(context.Context, *ConfigRequest) (*ConfigReply, error) {
+	return &ConfigReply{Tables: e.tables.Load()}, nil
+}
+
+func (e *Entry) handlePlace(ctx context.Context, req *rack.PlaceRequest) (*rack.Results, error) {
+	return await(ctx, e, func(now time.Time, reply func(rack.Results)) { e.place(*req, now, reply) })
+}
+
+func (e *Entry) place(req rack.PlaceRequest, now time.Time, reply func(rack.Results)) {
+	r, ok := e.racks[req.Shard]
+	if !ok {
+		reply(rack.Results{NotOwner: true})
+		return
+	}
+	r.Place(req, now, func(results rack.Results) {
+		results.Summary = r.Summary()
+		reply(results)
+	})
+}
+
+func (e *Entry) handleStartHeld(ctx context.Context, req *rack.TaskRequest) (*rack.Results, error) {
+	return await(ctx, e, func(now time.Time, reply func(rack.Results)) { e.startHeld(*req, now, reply) })
+}
+
+func (e *Entry) startHeld(req rack.TaskRequest, now time.Time, reply func(rack.Results)) {
+	r, ok := e.racks[req.Shard]
+	if !ok {
+		reply(rack.Results{NotOwner: true})
+		return
+	}
+	r.StartHeld(req, now, reply)
+}
+
+func (e *Entry) handleStop(ctx context.Context, req *rack.TaskRequest) (*rack.Results, error) {
+	return await(ctx, e, func(now time.Time, reply func(rack.Results)) { e.stopTasks(*req, now, reply) })
+}
+
+func (e *Entry) stopTasks(req rack.TaskRequest, now time.Time, reply func(rack.Results)) {
+	r, ok := e.racks[req.Shard]
+	if !ok {
+		reply(rack.Results{NotOwner: true})
+		return
+	}
+	r.Stop(req, now, reply)
+}
+
+func (e *Entry) handleReport(ctx context.Context, req *rack.ReportRequest) (*rack.Report, error) {
+	return await(ctx, e, func(_ time.Time, reply func(rack.Report)) { reply(e.report(*req)) })
+}
+
+func (e *Entry) report(req rack.ReportRequest) rack.Report {
+	r, ok := e.racks[req.Shard]
+	if !ok {
+		return rack.Report{NotOwner: true}
+	}
+	return r.Report(req)
+}
+
+func (e *Entry) handleEnded(ctx context.Context, batch *rack.EndedBatch) (*rack.EndedReply, error) {
+	return await(ctx, e, func(now time.Time, reply func(rack.EndedReply)) { reply(e.ended(*batch, now)) })
+}
+
+func (e *Entry) ended(batch rack.EndedBatch, now time.Time) rack.EndedReply {
+	q, ok := e.queues[batch.Team]
+	if !ok {
+		return rack.EndedReply{}
+	}
+	return q.Ended(batch, now)
+}
+
+func (e *Entry) handleSubmit(ctx context.Context, req *job.SubmitRequest) (*job.Reply, error) {
+	return await(ctx, e, func(now time.Time, reply func(job.Reply)) {
+		e.withQueue(req.Team, reply, func(q *job.Queue) { q.Submit(*req, now, reply) })
+	})
+}
+
+func (e *Entry) handleGet(ctx context.Context, ref *job.Ref) (*job.Reply, error) {
+	return await(ctx, e, func(_ time.Time, reply func(job.Reply)) {
+		e.withQueue(ref.Team, reply, func(q *job.Queue) {
+			q.Get(*ref, reply)
+			if ref.WaitMS > 0 {
+				wait := time.Duration(ref.WaitMS) * time.Millisecond
+				time.AfterFunc(wait, func() { e.loop.Post(func() { q.Expire(ref.ID) }) })
+			}
+		})
+	})
+}
+
+func (e *Entry) handleCancel(ctx context.Context, ref *job.Ref) (*job.Reply, error) {
+	return await(ctx, e, func(now time.Time, reply func(job.Reply)) {
+		e.withQueue(ref.Team, reply, func(q *job.Queue) { q.Cancel(*ref, now, reply) })
+	})
+}
+
+func (e *Entry) withQueue(team string, reply func(job.Reply), fn func(q *job.Queue)) {
+	q, ok := e.queues[team]
+	if !ok {
+		reply(job.Reply{Refused: job.RefusedNotOwner})
+		return
+	}
+	fn(q)
+}
+
+func (e *Entry) handleServe(ctx context.Context, req *slot.Request) (*slot.Answer, error) {
+	return await(ctx, e, func(now time.Time, reply func(slot.Answer)) {
+		set, ok := e.sets[req.Shard]
+		if !ok {
+			reply(slot.Answer{ID: req.ID, Outcome: slot.OutcomeNotRun, NotOwner: true, Reason: "not the owner"})
+			return
+		}
+		set.Serve(ctx, *req, now, reply)
+	})
+}
+
+// ownerAddress returns the owner of a shard and its peer address. It runs on
+// the control goroutine.
+func (e *Entry) ownerAddress(id shard.ID) (owner shard.Instance, address string) {
+	owner, _ = e.book.Owner(id)
+	if owner == e.info.Instance {
+		return owner, e.info.PeerAddress
+	}
+	m, ok := e.members[owner]
+	if !ok {
+		return "", ""
+	}
+	return owner, m.info.PeerAddress
+}
+
+// toOwner makes a call to the owner of a shard, in this process or another,
+// and passes its answer to done on the control goroutine.
+func toOwner[In, Out any](e *Entry, id shard.ID, rpc string, in In, timeout time.Duration,
+	local func(in In, reply func(Out)), done func(Out, error)) {
+	owner, address := e.ownerAddress(id)
+	switch owner {
+	case "":
+		var none Out
+		e.loop.Post(func() { done(none, errNoOwner) })
+	case e.info.Instance:
+		e.loop.Post(func() {
+			local(in, func(out Out) { e.loop.Post(func() { done(out, nil) }) })
+		})
+	default:
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			out, err := peer.Call[In, Out](ctx, e.peers, address, rpc, &in)
+			if out == nil {
+				out = new(Out)
+			}
+			e.loop.Post(func() { done(*out, err) })
+		}()
+	}
+}
+
+func (e *Entry) placeCall(req rack.PlaceRequest, done func(rack.Results, error)) {
+	local := func(in rack.PlaceRequest, reply func(rack.Results)) { e.place(in, time.Now(), reply) }
+	toOwner(e, req.Shard, callPlace, req, rackTimeout, local, done)
+}
+
+func (e *Entry) startHeldCall(req rack.TaskRequest, done func(rack.Results, error)) {
+	local := func(in rack.TaskRequest, reply func(rack.Results)) { e.startHeld(in, time.Now(), reply) }
+	toOwner(e, req.Shard, callStartHeld, req, rackTimeout, local, done)
+}
+
+func (e *Entry) stopCall(req rack.TaskRequest, done func(rack.Results, error)) {
+	local := func(in rack.TaskRequest, reply func(rack.Results)) { e.stopTasks(in, time.Now(), reply) }
+	toOwner(e, req.Shard, callStop, req, rackTimeout, local, done)
+}
+
+func (e *Entry) reportCall(req rack.ReportRequest, done func(rack.Report, error)) {
+	local := func(in rack.ReportRequest, reply func(rack.Report)) { reply(e.report(in)) }
+	toOwner(e, req.Shard, callReport, req, rackTimeout, local, done)
+}
+
+// deliver sends ended tasks to the queue of their team.
+func (e *Entry) deliver(batch rack.EndedBatch, recorded func(ids []string)) {
+	local := func(in rack.EndedBatch, reply func(rack.EndedReply)) { reply(e.ended(in, time.Now())) }
+	toOwner(e, shard.TeamID(batch.Team), callEnded, batch, rackTimeout, local, func(reply rack.EndedReply, err error) {
+		if err == nil {
+			recorded(reply.Recorded)
+		}
+	})
+}
+
+// callTeam makes a call about a job to the owner of the team's queue, and tries
+// again while the queue has no owner. All such calls may be repeated: a
+// submission carries the id of its job.
+func callTeam[In any](ctx context.Context, e *Entry, team, rpc string, in *In,
+	local func(context.Context, *In) (*job.Reply, error)) (reply *job.Reply, err error) {
+	sent := false
+	for {
+		reply, unsent, err := callTeamOnce(ctx, e, team, rpc, in, local)
+		sent = sent || !unsent
+		if err == nil && reply.Refused != job.RefusedNotOwner {
+			return reply, nil
+		}
+		sleep(ctx, ownerRetry)
+		if ctx.Err() != nil {
+			if sent {
+				return nil, errs.New("the owner of team %s did not answer", team)
+			}
+			return nil, errNoOwner
+		}
+	}
+}
+
+func callTeamOnce[In any](ctx context.Context, e *Entry, team, rpc string, in *In,
+	local func(context.Context, *In) (*job.Reply, error)) (reply *job.Reply, unsent bool, err error) {
+	var owner shard.Instance
+	var address string
+	if err := e.loop.Call(ctx, func() { owner, address = e.ownerAddress(shard.TeamID(team)) }); err != nil {
+		return nil, true, err
+	}
+	switch owner {
+	case "":
+		return nil, true, errNoOwner
+	case e.info.Instance:
+		reply, err = local(ctx, in)
+	default:
+		reply, err = peer.Call[In, job.Reply](ctx, e.peers, address, rpc, in)
+	}
+	unsent = err != nil && peer.ErrUnreachable.Has(err) || err == nil && reply.Refused == job.RefusedNotOwner
+	return reply, unsent, err
+}
--- /dev/null
+++ b/internal/entry/edit.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/hostlist"
+	"turmericspread.org/turmericspread/internal/httpserve"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/store"
+)
+
+// raceError tells an operator that another edit came first.
+type raceError struct {
+	Saw     int64
+	Current int64
+	Diff    []string
+}
+
+// Error implements error.
+func (e *raceError) Error() string {
+	return fmt.Sprintf("the tables changed from version %d to %d: %s", e.Saw, e.Current, strings.Join(e.Diff, "; "))
+}
+
+// editError tells why an edit makes no sense.
+type editError struct{ reason string }
+
+// Error implements error.
+func (e *editError) Error() string { return e.reason }
+
+// editTimeout bounds one edit of the tables.
+const editTimeout = 5 * time.Second
+
+// errOutcomeUnknown means that an edit may or may not be in force.
+var errOutcomeUnknown = errs.Class("the edit may have been accepted")
+
+// edit changes the tables: it reads them from the store, applies change, checks
+// the result, writes it against the revision read and reads it back. It is
+// accepted when this returns without an error.
+func (e *Entry) edit(ctx context.Context, change func(tables *config.Tables) error) (version int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, editTimeout)
+	defer cancel()
+	for {
+		entry, tables, err := e.readTables(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if err := change(tables); err != nil {
+			return 0, err
+		}
+		tables.Version++
+		if err := tables.Check(e.services(ctx)); err != nil {
+			return 0, err
+		}
+		value, err := json.Marshal(tables)
+		if err != nil {
+			return 0, err
+		}
+		if len(value) > store.MaxValueBytes {
+			return 0, &editError{fmt.Sprintf("the tables would take %d bytes, at most %d are possible", len(value), store.MaxValueBytes)}
+		}
+		_, err = e.store.Put(ctx, configKey, value, entry.Revision)
+		won, err := e.confirm(ctx, value, entry.Revision, err)
+		if err != nil {
+			return 0, err
+		}
+		if won {
+			event.ConfigAccepted.Log(e.Log).Int64("version", tables.Version).Send()
+			e.loop.Post(func() { e.useTables(tables) })
+			return tables.Version, nil
+		}
+	}
+}
+
+func (e *Entry) readTables(ctx context.Context) (entry store.Entry, tables *config.Tables, err error) {
+	entry, err = e.store.Get(ctx, configKey)
+	if err != nil {
+		return entry, nil, err
+	}
+	tables = config.New()
+	if len(entry.Value) > 0 {
+		err = json.Unmarshal(entry.Value, tables)
+	}
+	return entry, tables, err
+}
+
+// confirm reads back until it is certain whether a write took effect. While
+// the key still has the revision that the write expected, the write may yet
+// arrive, so it is sent again.
+func (e *Entry) confirm(ctx context.Context, value []byte, revision int64, putErr error) (won bool, err error) {
+	for {
+		entry, err := e.store.Get(ctx, configKey)
+		switch {
+		case err == nil && string(entry.Value) == string(value):
+			return true, nil
+		case err == nil && entry.Revision > revision:
+			// Another edit stands there. If ours was answered, it stood before.
+			return putErr == nil, nil
+		case err == nil:
+			_, putErr = e.store.Put(ctx, configKey, value, revision)
+		default:
+			sleep(ctx, storeRetry)
+		}
+		if ctx.Err() != nil {
+			return false, errOutcomeUnknown.Wrap(ctx.Err())
+		}
+	}
+}
+
+// services lists the services of the host list; nil if the list is not known.
+func (e *Entry) services(ctx context.Context) (services []string) {
+	_ = e.loop.Call(ctx, func() {
+		seen := map[string]bool{}
+		for _, host := range e.hostRows {
+			if host.Kind == hostlist.KindMinion && !seen[host.Service] {
+				seen[host.Service] = true
+				services = append(services, host.Service)
+			}
+		}
+	})
+	return services
+}
+
+// answerEdited tells an operator what became of an edit.
+func answerEdited(c *app.RequestContext, accepted any, err error) {
+	var race *raceError
+	var refused *editError
+	var check *config.CheckError
+	switch {
+	case err == nil:
+		httpserve.JSON(c, 200, accepted)
+	case errors.As(err, &race):
+		refuse(c, 409, "race", race.Error())
+	case errors.As(err, &refused), errors.As(err, &check), config.Error.Has(err):
+		refuse(c, 400, "bad-request", err.Error())
+	case errOutcomeUnknown.Has(err):
+		refuseUnknown(c, 504, err.Error(), "")
+	default:
+		refuse(c, 503, "store-down", err.Error())
+	}
+}
+
+func newID() string {
+	const idBytes = 8
+	buf := make([]byte, idBytes)
+	_, _ = rand.Read(buf)
+	return hex.EncodeToString(buf)
+}
+
+func unsent(err error) bool { return peer.ErrUnreachable.Has(err) }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,246 @@
+// Package entry assembles one entry process: it owns shards, serves callers
+// and operators over HTTP and talks to the other entry processes.
+//
+// # Usage
+//
+//	e := entry.New(set, log)
+//	err := e.Run(ctx) // until ctx ends, then a planned stop
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/control"
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/hostlist"
+	"turmericspread.org/turmericspread/internal/httpserve"
+	"turmericspread.org/turmericspread/internal/invariant"
+	"turmericspread.org/turmericspread/internal/job"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/settings"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/slot"
+	"turmericspread.org/turmericspread/internal/store"
+	"turmericspread.org/turmericspread/internal/worker"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("entry")
+
+// Entry is one entry process.
+type Entry struct {
+	Settings settings.Settings
+	Log      zerolog.Logger
+
+	info    Info
+	loop    *control.Loop
+	store   *store.Client
+	hosts   *hostlist.Client
+	peers   *peer.Client
+	workers *worker.Client
+	checks  *invariant.Checks
+	tables  atomic.Pointer[config.Tables]
+	ready   atomic.Bool
+	started time.Time
+	group   sync.WaitGroup
+	http    *server.Hertz
+
+	// The rest belongs to the control goroutine.
+	book       *shard.Book
+	members    map[shard.Instance]*member
+	hostRows   []hostlist.Host
+	rows       map[shard.ID][]hostlist.Host
+	shards     []shard.ID
+	racks      map[shard.ID]*rack.Rack
+	sets       map[shard.ID]*slot.Set
+	queues     map[string]*job.Queue
+	writing    map[*shard.Write]bool
+	configRev  int64
+	rightOK    bool
+	leaving    bool
+	storeOK    bool
+	lastPlan   time.Time
+	lastBeat   time.Time
+	outbound   map[shard.ID]int // requests under way to each set
+	fetching   bool
+	firstWatch bool
+}
+
+// New returns an Entry that does not run yet.
+func New(set settings.Settings, log zerolog.Logger) *Entry {
+	const instanceBytes = 6
+	suffix := make([]byte, instanceBytes)
+	_, _ = rand.Read(suffix)
+	instance := shard.Instance(set.Entry.Name + "." + hex.EncodeToString(suffix))
+	log = log.With().Str("entry", set.Entry.Name).Logger()
+	e := &Entry{
+		Settings: set,
+		Log:      log,
+		info: Info{
+			Instance: instance, Name: set.Entry.Name, Place: set.Entry.Place,
+			PeerAddress: set.Entry.PeerAddress, HTTPAddress: set.Entry.HTTPAddress,
+		},
+		loop:    control.New(),
+		store:   store.New(set.Store.Address, set.Store.Timeout),
+		hosts:   hostlist.New(set.HostList.Address),
+		peers:   peer.NewClient(),
+		workers: worker.New(),
+		checks:  invariant.New(log),
+		started: time.Now(),
+		book: shard.NewBook(instance, shard.Timing{
+			Right: set.Timing.Right, Drift: set.Timing.Drift, Suspect: set.Timing.Suspect,
+		}),
+		members:  map[shard.Instance]*member{},
+		rows:     map[shard.ID][]hostlist.Host{},
+		racks:    map[shard.ID]*rack.Rack{},
+		sets:     map[shard.ID]*slot.Set{},
+		queues:   map[string]*job.Queue{},
+		writing:  map[*shard.Write]bool{},
+		outbound: map[shard.ID]int{},
+		storeOK:  true,
+	}
+	e.tables.Store(config.New())
+	return e
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (e *Entry) Run(ctx context.Context) (err error) {
+	defer Error.WrapP(&err)
+	peerListener, err := net.Listen("tcp", e.Settings.Entry.PeerAddress)
+	if err != nil {
+		return err
+	}
+	httpListener, err := net.Listen("tcp", e.Settings.Entry.HTTPAddress)
+	if err != nil {
+		_ = peerListener.Close()
+		return err
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e.spawn(func() { e.loop.Run(runCtx) })
+	e.spawn(func() { _ = peer.Serve(runCtx, peerListener, e.mux()) })
+	e.http = httpserve.New(httpListener, httpserve.Options{MaxBody: e.Settings.Limits.BodyBytes})
+	e.routes(e.http)
+	httpDone := make(chan error, 1)
+	e.spawn(func() { httpDone <- e.http.Run() })
+	e.spawn(func() { e.watchStore(runCtx) })
+	e.spawn(func() { e.pollHosts(runCtx) })
+	e.spawn(func() { e.tickLoop(runCtx) })
+	event.Started.Log(e.Log).Str("instance", string(e.info.Instance)).Str("place", e.info.Place).
+		Str("http", e.info.HTTPAddress).Str("peer", e.info.PeerAddress).Send()
+	select {
+	case <-ctx.Done():
+		e.stop()
+	case err = <-httpDone:
+	}
+	cancel()
+	_ = httpserve.Stop(e.http, time.Second)
+	_ = e.peers.Close()
+	e.group.Wait()
+	event.Stopped.Log(e.Log).Send()
+	return err
+}
+
+func (e *Entry) spawn(fn func()) {
+	e.group.Add(1)
+	go func() {
+		defer e.group.Done()
+		fn()
+	}()
+}
+
+// stop hands over all shards and waits for the requests in flight.
+func (e *Entry) stop() {
+	event.Stopping.Log(e.Log).Send()
+	e.ready.Store(false)
+	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Timing.Stop)
+	defer cancel()
+	_ = e.loop.Call(ctx, func() {
+		e.leaving = true
+		e.book.Leave()
+	})
+	const period = 10 * time.Millisecond
+	for {
+		left := 0
+		err := e.loop.Call(ctx, func() { left = len(e.book.Held()) + e.inFlight() })
+		if err != nil {
+			event.StopForced.Log(e.Log).Int("left", left).Send()
+			return
+		}
+		if left == 0 {
+			break
+		}
+		time.Sleep(period)
+	}
+	_ = httpserve.Stop(e.http, time.Until(deadlineOf(ctx)))
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	deadline, _ := ctx.Deadline()
+	return deadline
+}
+
+func (e *Entry) inFlight() (n int) {
+	for _, set := range e.sets {
+		n += set.InFlight()
+	}
+	for _, count := range e.outbound {
+		n += count
+	}
+	return n
+}
+
+const tickPeriod = 10 * time.Millisecond
+
+func (e *Entry) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			// A busy loop gets one tick at a time.
+			err := e.loop.Call(ctx, func() { e.tick(ctx, time.Now()) })
+			if errors.Is(err, context.Canceled) {
+				return
+			}
+		}
+	}
+}
+
+const planPeriod = 50 * time.Millisecond
+
+func (e *Entry) tick(ctx context.Context, now time.Time) {
+	if now.Sub(e.lastPlan) >= planPeriod {
+		e.lastPlan = now
+		e.planShards(now)
+	}
+	e.syncHoldings(now)
+	if now.Sub(e.lastBeat) >= e.Settings.Timing.Heartbeat {
+		e.lastBeat = now
+		e.beat(ctx, now)
+	}
+	for _, r := range e.racks {
+		r.Tick(now)
+	}
+	for _, set := range e.sets {
+		set.Tick(now)
+	}
+	for _, q := range e.queues {
+		q.Tick(now)
+	}
+}
--- /dev/null
+++ b/internal/entry/holding.go
@@ -0,0 +1,258 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/hostlist"
+	"turmericspread.org/turmericspread/internal/job"
+	"turmericspread.org/turmericspread/internal/minion"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/slot"
+	"turmericspread.org/turmericspread/internal/store"
+)
+
+// syncHoldings creates and drops the state of shards as their ownership changes.
+func (e *Entry) syncHoldings(now time.Time) {
+	owned := map[shard.ID]int64{}
+	for _, id := range e.book.Held() {
+		phase, epoch := e.book.Phase(id, now)
+		switch phase {
+		case shard.PhaseOwned:
+			owned[id] = epoch
+			e.openShard(id, epoch, now)
+		case shard.PhaseReleasing:
+			owned[id] = epoch
+			if e.drainShard(id) {
+				e.book.Drained(id)
+			}
+		}
+	}
+	e.dropShards(owned)
+	e.noteRight(now)
+}
+
+func (e *Entry) noteRight(now time.Time) {
+	ok := now.Before(e.book.RightEnd())
+	if ok == e.rightOK {
+		return
+	}
+	e.rightOK = ok
+	if ok {
+		event.RightRestored.Log(e.Log).Send()
+	} else {
+		event.RightLapsed.Log(e.Log).Send()
+	}
+}
+
+func (e *Entry) openShard(id shard.ID, epoch int64, now time.Time) {
+	switch id.Kind() {
+	case shard.KindRack:
+		if r, ok := e.racks[id]; ok && r.Epoch == epoch {
+			r.Undrain()
+			return
+		}
+		e.racks[id] = e.newRack(id, epoch)
+		e.racks[id].SetHosts(e.rows[id], now)
+	case shard.KindMinions:
+		if set, ok := e.sets[id]; ok {
+			set.Undrain()
+			return
+		}
+		e.sets[id] = e.newSet(id)
+		e.sets[id].SetHosts(e.rows[id], now)
+	case shard.KindTeam:
+		if q, ok := e.queues[id.Team()]; ok && q.Epoch == epoch {
+			q.Undrain()
+			return
+		}
+		e.queues[id.Team()] = e.newQueue(id.Team(), epoch)
+	}
+	event.ShardOwned.Log(e.Log).Str("shard", string(id)).Int64("epoch", epoch).Send()
+}
+
+func (e *Entry) drainShard(id shard.ID) (drained bool) {
+	switch id.Kind() {
+	case shard.KindRack:
+		r, ok := e.racks[id]
+		return !ok || r.Drain()
+	case shard.KindMinions:
+		set, ok := e.sets[id]
+		return !ok || set.Drain()
+	}
+	q, ok := e.queues[id.Team()]
+	return !ok || q.Drain()
+}
+
+// dropShards forgets the state of shards that this process owns no more.
+func (e *Entry) dropShards(owned map[shard.ID]int64) {
+	for id, r := range e.racks {
+		if epoch, ok := owned[id]; !ok || epoch != r.Epoch {
+			delete(e.racks, id)
+			event.ShardReleased.Log(e.Log).Str("shard", string(id)).Send()
+		}
+	}
+	for id, set := range e.sets {
+		if _, ok := owned[id]; ok {
+			continue
+		}
+		set.Drain()
+		if set.InFlight() == 0 {
+			delete(e.sets, id)
+			event.ShardReleased.Log(e.Log).Str("shard", string(id)).Send()
+		}
+	}
+	for team, q := range e.queues {
+		id := shard.TeamID(team)
+		if epoch, ok := owned[id]; !ok || epoch != q.Epoch {
+			q.Close()
+			delete(e.queues, team)
+			event.ShardReleased.Log(e.Log).Str("shard", string(id)).Send()
+		}
+	}
+}
+
+func (e *Entry) newRack(id shard.ID, epoch int64) *rack.Rack {
+	return &rack.Rack{
+		ID: id, Epoch: epoch, Log: e.Log, TaskLease: e.Settings.Timing.TaskLease, Checks: e.checks,
+		Now: time.Now, Post: e.loop.Post, Go: func(fn func()) { go fn() },
+		Connect:  func(host hostlist.Host) rack.Worker { return e.workers.At(host.Address, host.Name) },
+		MayStart: func(now time.Time) bool { return e.book.MayStart(id, now) },
+		RightEnd: e.book.RightEnd,
+		TeamEpoch: func(team string) int64 {
+			_, epoch := e.book.Owner(shard.TeamID(team))
+			return epoch
+		},
+		Deliver: e.deliver,
+	}
+}
+
+func (e *Entry) newSet(id shard.ID) *slot.Set {
+	return &slot.Set{
+		ID: id, Log: e.Log, Checks: e.checks,
+		Now: time.Now, Post: e.loop.Post, Go: func(fn func()) { go fn() },
+		Connect: func(host hostlist.Host) slot.Minion {
+			return minion.New(host.Address, host.Name, host.Connections)
+		},
+		MayStart: func(now time.Time) bool { return e.book.MayStart(id, now) },
+		RightEnd: e.book.RightEnd,
+	}
+}
+
+func (e *Entry) newQueue(team string, epoch int64) *job.Queue {
+	id := shard.TeamID(team)
+	return &job.Queue{
+		Team: team, Epoch: epoch, Log: e.Log, Checks: e.checks, Now: time.Now,
+		MayStart:   func(now time.Time) bool { return e.book.MayStart(id, now) },
+		StoreFresh: func(now time.Time) bool { return now.Sub(e.book.ConfirmedAt()) < storeFresh },
+		Tables:     e.tables.Load,
+		Hosts: func() (workers []hostlist.Host) {
+			for _, host := range e.hostRows {
+				if host.Kind == hostlist.KindWorker {
+					workers = append(workers, host)
+				}
+			}
+			return workers
+		},
+		Racks:     e.rackSummaries,
+		AllRacks:  e.allRacks,
+		MayUse:    func(used, more resource.Vector) bool { return e.mayUse(team, used, more) },
+		Place:     e.placeCall,
+		StartHeld: e.startHeldCall,
+		Stop:      e.stopCall,
+		Report:    e.reportCall,
+		Load:      func(done func([]job.Segment, error)) { e.loadSegments(team, done) },
+		Save:      func(seg job.Segment, done func(job.SaveResult)) { e.saveSegment(team, seg, done) },
+	}
+}
+
+func (e *Entry) allRacks() (racks []shard.ID) {
+	for _, id := range e.shards {
+		if id.Kind() == shard.KindRack {
+			racks = append(racks, id)
+		}
+	}
+	return racks
+}
+
+// jobPrefix returns the prefix of the store keys of a team's segments.
+func jobPrefix(team string) string { return "jobs/" + team + "/" }
+
+func segmentKey(team string, number int) string {
+	return fmt.Sprintf("%s%08d", jobPrefix(team), number)
+}
+
+func (e *Entry) loadSegments(team string, done func([]job.Segment, error)) {
+	go func() {
+		segments, err := e.readSegments(team)
+		e.loop.Post(func() { done(segments, err) })
+	}()
+}
+
+func (e *Entry) readSegments(team string) (segments []job.Segment, err error) {
+	defer Error.WrapP(&err)
+	answer, err := e.store.List(context.Background(), jobPrefix(team))
+	if err != nil {
+		return nil, err
+	}
+	for _, entry := range answer.Entries {
+		seg, err := decodeSegment(entry)
+		if err != nil {
+			return nil, err
+		}
+		segments = append(segments, seg)
+	}
+	return segments, nil
+}
+
+func decodeSegment(entry store.Entry) (seg job.Segment, err error) {
+	if err := json.Unmarshal(entry.Value, &seg); err != nil {
+		return job.Segment{}, errs.New("key %s: %v", entry.Key, err)
+	}
+	if !strings.HasSuffix(entry.Key, fmt.Sprintf("%08d", seg.Number)) {
+		return job.Segment{}, errs.New("key %s holds segment %d", entry.Key, seg.Number)
+	}
+	seg.Revision = entry.Revision
+	return seg, nil
+}
+
+// saveSegment writes a segment; on a conflict it reads what stands there.
+func (e *Entry) saveSegment(team string, seg job.Segment, done func(job.SaveResult)) {
+	go func() {
+		result := e.putSegment(team, seg)
+		e.loop.Post(func() { done(result) })
+	}()
+}
+
+func (e *Entry) putSegment(team string, seg job.Segment) (result job.SaveResult) {
+	ctx := context.Background()
+	key := segmentKey(team, seg.Number)
+	value, err := json.Marshal(seg)
+	if err != nil {
+		return job.SaveResult{Err: err}
+	}
+	revision, err := e.store.Put(ctx, key, value, seg.Revision)
+	if err == nil {
+		return job.SaveResult{Revision: revision}
+	}
+	if store.IsUnknown(err) {
+		return job.SaveResult{Err: err}
+	}
+	entry, err := e.store.Get(ctx, key)
+	if err != nil {
+		return job.SaveResult{Err: err}
+	}
+	found, err := decodeSegment(entry)
+	if err != nil {
+		return job.SaveResult{Err: err}
+	}
+	return job.SaveResult{Conflict: &found}
+}
--- /dev/null
+++ b/internal/entry/member.go
@@ -0,0 +1,325 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/hostlist"
+	"turmericspread.org/turmericspread/internal/job"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/share"
+	"turmericspread.org/turmericspread/internal/slot"
+)
+
+// member is another entry process.
+type member struct {
+	info    Info
+	leaving bool
+	busy    bool // a heartbeat to it is under way
+	silent  bool
+	heardAt time.Time // of its last heartbeat
+	racks   []rack.Summary
+	sets    []slot.Summary
+	teams   []job.Summary
+}
+
+// memberPrefix is the prefix of the store keys that hold Info values.
+const memberPrefix = "cell/member/"
+
+// nameOf returns the host name in an instance.
+func nameOf(instance shard.Instance) string {
+	name, _, _ := strings.Cut(string(instance), ".")
+	return name
+}
+
+// addMember learns of a process, from the store, a heartbeat or another member.
+func (e *Entry) addMember(info Info) {
+	if info.Instance == e.info.Instance || info.Instance == "" || e.book.IsGone(info.Instance) {
+		return
+	}
+	if _, ok := e.members[info.Instance]; ok {
+		return
+	}
+	if info.PeerAddress == e.info.PeerAddress {
+		// This process has the address now, so the other one has ended.
+		e.gone(info.Instance)
+		return
+	}
+	e.members[info.Instance] = &member{info: info}
+	e.book.Peer(info.Instance)
+}
+
+// gone records the proof that a process runs no more.
+func (e *Entry) gone(instance shard.Instance) {
+	if e.book.IsGone(instance) {
+		return
+	}
+	e.book.Gone(instance)
+	delete(e.members, instance)
+	event.MemberGone.Log(e.Log).Str("instance", string(instance)).Send()
+}
+
+// beat sends a heartbeat to every member and to seeds that are not members yet.
+func (e *Entry) beat(ctx context.Context, now time.Time) {
+	base := e.heartbeat(now)
+	addresses := map[string]bool{}
+	for _, m := range e.members {
+		addresses[m.info.PeerAddress] = true
+		if !m.busy {
+			e.beatOne(ctx, m, base, now)
+		}
+		e.noteSilence(m, now)
+	}
+	for _, seed := range e.Settings.Entry.Peers {
+		if !addresses[seed] && seed != e.info.PeerAddress {
+			e.beatSeed(ctx, seed, base)
+		}
+	}
+}
+
+func (e *Entry) noteSilence(m *member, now time.Time) {
+	silent := !e.book.Live(m.info.Instance, now)
+	if silent && !m.silent {
+		event.MemberSilent.Log(e.Log).Str("instance", string(m.info.Instance)).Send()
+	}
+	if !silent && m.silent {
+		event.MemberJoined.Log(e.Log).Str("instance", string(m.info.Instance)).Send()
+	}
+	m.silent = silent
+}
+
+func (e *Entry) heartbeat(now time.Time) Heartbeat {
+	beat := Heartbeat{
+		From:          e.info,
+		Leaving:       e.leaving,
+		Revisions:     e.book.Revisions(),
+		ConfigVersion: e.tables.Load().Version,
+	}
+	beat.Racks, beat.Sets, beat.Teams = e.ownSummaries(now)
+	for _, m := range e.members {
+		beat.Members = append(beat.Members, m.info)
+	}
+	return beat
+}
+
+func (e *Entry) ownSummaries(now time.Time) (racks []rack.Summary, sets []slot.Summary, teams []job.Summary) {
+	for _, id := range slices.Sorted(maps.Keys(e.racks)) {
+		racks = append(racks, e.racks[id].Summary())
+	}
+	for _, id := range slices.Sorted(maps.Keys(e.sets)) {
+		sets = append(sets, e.sets[id].Summary(now))
+	}
+	for _, team := range slices.Sorted(maps.Keys(e.queues)) {
+		teams = append(teams, e.queues[team].Summary())
+	}
+	return racks, sets, teams
+}
+
+func (e *Entry) beatOne(ctx context.Context, m *member, beat Heartbeat, now time.Time) {
+	e.book.Grant(m.info.Instance)
+	beat.Grant = true
+	m.busy = true
+	address := m.info.PeerAddress
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, e.Settings.Timing.Suspect)
+		defer cancel()
+		reply, err := peer.Call[Heartbeat, HeartbeatReply](callCtx, e.peers, address, callHeartbeat, &beat)
+		e.loop.Post(func() {
+			m.busy = false
+			if err == nil {
+				e.beatAnswered(m, now, reply)
+			}
+		})
+	}()
+}
+
+func (e *Entry) beatAnswered(m *member, sentAt time.Time, reply *HeartbeatReply) {
+	if reply.Instance != m.info.Instance {
+		e.gone(m.info.Instance)
+		return
+	}
+	e.book.Answered(m.info.Instance, sentAt, reply.Clear, time.Now())
+	e.learnVersion(reply.ConfigVersion, m.info.PeerAddress)
+}
+
+// beatSeed introduces this process to an address from the settings.
+func (e *Entry) beatSeed(ctx context.Context, address string, beat Heartbeat) {
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, e.Settings.Timing.Suspect)
+		defer cancel()
+		reply, err := peer.Call[Heartbeat, HeartbeatReply](callCtx, e.peers, address, callHeartbeat, &beat)
+		if err != nil {
+			return
+		}
+		e.loop.Post(func() { e.learnVersion(reply.ConfigVersion, address) })
+	}()
+}
+
+// handleHeartbeat answers a heartbeat of another process.
+func (e *Entry) handleHeartbeat(ctx context.Context, beat *Heartbeat) (reply *HeartbeatReply, err error) {
+	err = e.loop.Call(ctx, func() {
+		now := time.Now()
+		e.addMember(beat.From)
+		if m, ok := e.members[beat.From.Instance]; ok {
+			e.takeSummaries(m, beat, now)
+		}
+		for _, info := range beat.Members {
+			e.addMember(info)
+		}
+		if beat.Grant {
+			e.book.GrantedBy(beat.From.Instance)
+		}
+		e.learnVersion(beat.ConfigVersion, beat.From.PeerAddress)
+		reply = &HeartbeatReply{
+			Instance:      e.info.Instance,
+			Clear:         e.book.ClearFor(beat.From.Instance, beat.Revisions),
+			ConfigVersion: e.tables.Load().Version,
+		}
+	})
+	return reply, err
+}
+
+func (e *Entry) takeSummaries(m *member, beat *Heartbeat, now time.Time) {
+	m.heardAt, m.leaving = now, beat.Leaving
+	m.racks, m.sets, m.teams = beat.Racks, beat.Sets, beat.Teams
+	for _, q := range e.queues {
+		q.ForgetViews()
+	}
+}
+
+// checkHostList proves members gone that the list of hosts names no more.
+func (e *Entry) checkHostList(hosts []hostlist.Host, sentAt time.Time) {
+	listed := map[string]bool{}
+	for _, host := range hosts {
+		if host.Kind == hostlist.KindEntry {
+			listed[host.Name] = true
+		}
+	}
+	if listed[e.info.Name] {
+		e.book.Listed(sentAt, time.Now())
+	}
+	if len(listed) == 0 {
+		return
+	}
+	for _, id := range e.shards {
+		owner, _ := e.book.Owner(id)
+		if owner == "" || owner == e.info.Instance {
+			continue
+		}
+		if !listed[nameOf(owner)] || nameOf(owner) == e.info.Name {
+			e.gone(owner)
+		}
+	}
+	for instance := range e.members {
+		if !listed[nameOf(instance)] {
+			e.gone(instance)
+		}
+	}
+}
+
+// liveMembers lists the processes that may own shards, this one included.
+func (e *Entry) liveMembers(now time.Time) (list []shard.Member) {
+	if !e.leaving {
+		list = append(list, shard.Member{Instance: e.info.Instance, Place: e.info.Place})
+	}
+	for instance, m := range e.members {
+		if e.book.Live(instance, now) && !m.leaving && !m.heardAt.IsZero() {
+			list = append(list, shard.Member{Instance: instance, Place: m.info.Place})
+		}
+	}
+	slices.SortFunc(list, func(a, b shard.Member) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	return list
+}
+
+// rackSummaries returns the newest summary of every rack that has an owner.
+func (e *Entry) rackSummaries() (list []rack.Summary) {
+	for _, id := range slices.Sorted(maps.Keys(e.racks)) {
+		list = append(list, e.racks[id].Summary())
+	}
+	for _, instance := range slices.Sorted(maps.Keys(e.members)) {
+		for _, summary := range e.members[instance].racks {
+			if owner, _ := e.book.Owner(summary.Shard); owner == instance {
+				list = append(list, summary)
+			}
+		}
+	}
+	return list
+}
+
+// setSummaries returns the newest summary of every set of a service.
+func (e *Entry) setSummaries(service string, now time.Time) (list []slot.Summary) {
+	for _, set := range e.sets {
+		if summary := set.Summary(now); summary.Service == service {
+			list = append(list, summary)
+		}
+	}
+	for instance, m := range e.members {
+		for _, summary := range m.sets {
+			if owner, _ := e.book.Owner(summary.Shard); owner == instance && summary.Service == service {
+				list = append(list, summary)
+			}
+		}
+	}
+	return list
+}
+
+// demands returns what every team uses and wants in the whole fleet.
+func (e *Entry) demands() map[string]share.Demand {
+	tables := e.tables.Load()
+	demands := map[string]share.Demand{}
+	take := func(summary job.Summary) {
+		demands[summary.Team] = share.Demand{
+			Weight: tables.Teams[summary.Team].Share, Used: summary.Used, Pending: summary.Pending,
+		}
+	}
+	for instance, m := range e.members {
+		for _, summary := range m.teams {
+			if owner, _ := e.book.Owner(shard.TeamID(summary.Team)); owner == instance {
+				take(summary)
+			}
+		}
+	}
+	for _, q := range e.queues {
+		take(q.Summary())
+	}
+	return demands
+}
+
+// capacity returns what all workers of the host list have.
+func (e *Entry) capacity() (total resource.Vector) {
+	for _, host := range e.hostRows {
+		if host.Kind == hostlist.KindWorker {
+			total = total.Add(host.Capacity)
+		}
+	}
+	return total
+}
+
+// mayUse reports whether a team's share lets it use more: it does while others
+// leave room, or while the team is below what it is entitled to.
+func (e *Entry) mayUse(team string, used, more resource.Vector) bool {
+	total := e.capacity()
+	demands := e.demands()
+	own := demands[team]
+	if own.Weight == 0 {
+		return true
+	}
+	own.Used = used
+	demands[team] = own
+	var wanted resource.Vector
+	for _, d := range demands {
+		wanted = wanted.Add(d.Used).Add(d.Pending)
+	}
+	if total.Fits(wanted) {
+		return true
+	}
+	entitled := share.Entitlements(total, demands)[team]
+	return used.Add(more).Dominant(total) <= entitled+more.Dominant(total)
+}
--- /dev/null
+++ b/internal/entry/platform.go
@@ -0,0 +1,270 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/hostlist"
+	"turmericspread.org/turmericspread/internal/invariant"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/store"
+)
+
+const (
+	// cellPrefix is the prefix of all keys that every process watches.
+	cellPrefix = "cell/"
+	// configKey holds the operators' tables.
+	configKey = "cell/config"
+	// watchHold is how long the store holds a watch that has nothing to tell.
+	watchHold = time.Second
+	// storeRetry is the time between two tries at a store that does not answer.
+	storeRetry = 300 * time.Millisecond
+	// storeFresh is the age of the last answer up to which the store counts as up.
+	storeFresh = 3 * time.Second
+)
+
+// watchStore reads the cell's keys, registers this process and follows changes.
+func (e *Entry) watchStore(ctx context.Context) {
+	revision := int64(-1)
+	for ctx.Err() == nil {
+		sentAt := time.Now()
+		var answer store.Answer
+		var err error
+		if revision < 0 {
+			answer, err = e.store.List(ctx, cellPrefix)
+		} else {
+			answer, err = e.store.Watch(ctx, cellPrefix, revision, watchHold)
+		}
+		if err == nil && answer.Revision < revision {
+			err = errs.New("revision went from %d back to %d", revision, answer.Revision)
+		}
+		if err != nil {
+			e.loop.Post(func() { e.noteStore(false) })
+			sleep(ctx, storeRetry)
+			continue
+		}
+		first := revision < 0
+		revision = answer.Revision
+		err = e.loop.Call(ctx, func() { e.applyAnswer(answer, sentAt) })
+		if first && err == nil {
+			e.spawn(func() { e.register(ctx) })
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (e *Entry) noteStore(ok bool) {
+	if ok != e.storeOK {
+		e.storeOK = ok
+		if ok {
+			event.StoreUp.Log(e.Log).Send()
+		} else {
+			event.StoreDown.Log(e.Log).Send()
+		}
+	}
+}
+
+func (e *Entry) applyAnswer(answer store.Answer, sentAt time.Time) {
+	now := time.Now()
+	e.noteStore(true)
+	for _, entry := range answer.Entries {
+		switch {
+		case entry.Deleted:
+		case entry.Key == configKey:
+			e.applyConfig(entry)
+		case strings.HasPrefix(entry.Key, memberPrefix):
+			var info Info
+			if json.Unmarshal(entry.Value, &info) == nil {
+				e.addMember(info)
+			}
+		case strings.HasPrefix(entry.Key, shard.TablePrefix):
+			var table shard.Table
+			if json.Unmarshal(entry.Value, &table) == nil {
+				e.book.Apply(entry.Key, entry.Revision, table, now)
+			}
+		}
+	}
+	e.book.Confirm(sentAt)
+	e.firstWatch = true
+}
+
+func (e *Entry) applyConfig(entry store.Entry) {
+	tables := config.New()
+	if err := json.Unmarshal(entry.Value, tables); err != nil {
+		event.ConfigRefused.Log(e.Log).Err(err).Send()
+		return
+	}
+	e.configRev = max(e.configRev, entry.Revision)
+	e.useTables(tables)
+}
+
+// useTables puts tables in force, unless newer ones are.
+func (e *Entry) useTables(tables *config.Tables) {
+	current := e.tables.Load()
+	if tables.Version <= current.Version {
+		return
+	}
+	e.tables.Store(tables)
+	e.checks.Check(invariant.ConfigMonotonic, tables.Version > current.Version)
+	event.ConfigApplied.Log(e.Log).Int64("version", tables.Version).Send()
+	e.listShards()
+}
+
+// learnVersion fetches the tables of a peer that has newer ones.
+func (e *Entry) learnVersion(version int64, address string) {
+	if version <= e.tables.Load().Version || e.fetching {
+		return
+	}
+	e.fetching = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Timing.Suspect)
+		defer cancel()
+		reply, err := peer.Call[ConfigRequest, ConfigReply](ctx, e.peers, address, callConfig, &ConfigRequest{})
+		e.loop.Post(func() {
+			e.fetching = false
+			if err == nil && reply.Tables != nil {
+				e.useTables(reply.Tables)
+			}
+		})
+	}()
+}
+
+// register writes this process's member key.
+func (e *Entry) register(ctx context.Context) {
+	key := memberPrefix + e.info.Name
+	value, err := json.Marshal(e.info)
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil {
+		entry, err := e.store.Get(ctx, key)
+		if err == nil && string(entry.Value) == string(value) {
+			return
+		}
+		if err == nil {
+			_, err = e.store.Put(ctx, key, value, entry.Revision)
+		}
+		if err == nil {
+			return
+		}
+		sleep(ctx, storeRetry)
+	}
+}
+
+// pollHosts reads the list of hosts.
+func (e *Entry) pollHosts(ctx context.Context) {
+	down := false
+	for ctx.Err() == nil {
+		sentAt := time.Now()
+		hosts, err := e.hosts.List(ctx)
+		switch {
+		case err == nil:
+			down = false
+			_ = e.loop.Call(ctx, func() { e.useHosts(hosts, sentAt) })
+		case !down:
+			down = true
+			event.HostListDown.Log(e.Log).Err(err).Send()
+		}
+		sleep(ctx, e.Settings.HostList.Poll)
+	}
+}
+
+func (e *Entry) useHosts(hosts []hostlist.Host, sentAt time.Time) {
+	now := time.Now()
+	e.hostRows = hosts
+	e.rows = map[shard.ID][]hostlist.Host{}
+	for _, host := range hosts {
+		if id := shardOf(host); id != "" {
+			e.rows[id] = append(e.rows[id], host)
+		}
+	}
+	for id, r := range e.racks {
+		r.SetHosts(e.rows[id], now)
+	}
+	for id, set := range e.sets {
+		set.SetHosts(e.rows[id], now)
+	}
+	e.listShards()
+	e.checkHostList(hosts, sentAt)
+}
+
+// minionSets is into how many shards the minions of a service in a place are divided.
+const minionSets = 4
+
+// shardOf returns the shard that a target belongs to.
+func shardOf(host hostlist.Host) shard.ID {
+	switch host.Kind {
+	case hostlist.KindWorker:
+		return shard.ID(string(shard.KindRack) + "/" + host.Place + "/" + host.Rack)
+	case hostlist.KindMinion:
+		set := xxhash.Sum64String(host.Name) % minionSets
+		return shard.ID(string(shard.KindMinions) + "/" + host.Place + "/" + host.Service + "/" + string('a'+rune(set)))
+	}
+	return ""
+}
+
+// listShards derives the shards of the cell from the host list and the teams.
+func (e *Entry) listShards() {
+	e.shards = e.shards[:0:0]
+	if len(e.hostRows) == 0 {
+		return
+	}
+	for id := range e.rows {
+		e.shards = append(e.shards, id)
+	}
+	for team := range e.tables.Load().Teams {
+		e.shards = append(e.shards, shard.TeamID(team))
+	}
+}
+
+// planShards attempts the table writes that the book asks for.
+func (e *Entry) planShards(now time.Time) {
+	if !e.firstWatch || len(e.hostRows) == 0 || now.Sub(e.started) < e.Settings.Timing.Suspect {
+		// A new process hears the others first, so as not to take what they hold.
+		return
+	}
+	view := shard.View{Shards: e.shards, Members: e.liveMembers(now)}
+	for _, write := range e.book.Plan(view, now) {
+		if !e.writing[write] {
+			e.writeTable(write)
+		}
+	}
+	e.ready.Store(!e.leaving && e.tables.Load().Version > 0)
+}
+
+func (e *Entry) writeTable(write *shard.Write) {
+	value, err := json.Marshal(write.Table)
+	if err != nil {
+		return
+	}
+	e.writing[write] = true
+	go func() {
+		revision, err := e.store.Put(context.Background(), write.Key, value, write.Revision)
+		if err != nil {
+			// A conflict shows in the next watch answer, a lost answer is tried again.
+			time.Sleep(storeRetry)
+		}
+		e.loop.Post(func() {
+			delete(e.writing, write)
+			if err == nil {
+				e.book.Apply(write.Key, revision, write.Table, time.Now())
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/job/gang.go
@@ -0,0 +1,199 @@
+package job
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/shard"
+)
+
+// gangState is how far the start of a gang is.
+type gangState string
+
+const (
+	gangIdle     gangState = ""
+	gangHolding  gangState = "holding"  // holds are asked for
+	gangStarting gangState = "starting" // all holds stand, starts are sent
+	gangBroken   gangState = "broken"   // a member ended early, the others are stopped
+)
+
+const (
+	// minGangDelay and maxGangDelay spread the next attempts of gangs that
+	// contend for the same racks.
+	minGangDelay = 100 * time.Millisecond
+	maxGangDelay = 400 * time.Millisecond
+)
+
+// notSent reports whether a call to a peer failed before anything was sent.
+func notSent(err error) bool { return err != nil && peer.ErrUnreachable.Has(err) }
+
+// scheduleGang holds resources for all tasks of a gang. Holds end by
+// themselves, and all are given back if one is refused, so gangs that contend
+// never wait for each other.
+func (q *Queue) scheduleGang(j *job, p *plan, now time.Time) {
+	if j.gang != gangIdle || j.pending < j.open {
+		return
+	}
+	if !q.admit(j, int64(j.open)) {
+		return
+	}
+	chosen := map[*task]shard.ID{}
+	for _, t := range j.tasks {
+		if t.state != TaskPending {
+			continue
+		}
+		id, ok := q.choose(j, p)
+		if !ok {
+			j.retryAt = now.Add(noRoomDelay)
+			j.reason = fmt.Sprintf("room for %d of the gang's %d tasks", len(chosen), j.open)
+			return
+		}
+		chosen[t] = id
+		p.take(id, j.record.Spec.Want)
+	}
+	j.reason = ""
+	j.gang = gangHolding
+	batches := map[shard.ID][]rack.TaskSpec{}
+	for _, t := range j.tasks {
+		if id, ok := chosen[t]; ok {
+			q.begin(t, id)
+			batches[id] = append(batches[id], t.spec())
+		}
+	}
+	q.hold(j, batches)
+}
+
+func (q *Queue) hold(j *job, batches map[shard.ID][]rack.TaskSpec) {
+	missing, held := len(batches), 0
+	for id, specs := range batches {
+		q.calls++
+		req := rack.PlaceRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Hold: true, Tasks: specs}
+		q.Place(req, func(results rack.Results, _ error) {
+			q.calls--
+			missing--
+			if results.Summary.Shard != "" {
+				q.views[id] = results.Summary
+			}
+			for _, result := range results.Tasks {
+				if result.Outcome == rack.OutcomeHeld {
+					held++
+				}
+			}
+			if missing == 0 {
+				q.held(j, batches, held)
+			}
+		})
+	}
+}
+
+// held starts a gang whose holds all stand and gives the holds back otherwise.
+func (q *Queue) held(j *job, batches map[shard.ID][]rack.TaskSpec, held int) {
+	total := 0
+	for _, specs := range batches {
+		total += len(specs)
+	}
+	if held < total || j.record.Cancelled || !q.MayStart(q.Now()) {
+		q.giveBack(j, batches)
+		return
+	}
+	j.gang = gangStarting
+	missing, started := len(batches), 0
+	for id, specs := range batches {
+		q.calls++
+		req := rack.TaskRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Tasks: specs}
+		q.StartHeld(req, func(results rack.Results, err error) {
+			q.calls--
+			missing--
+			q.placed(id, specs, results, err)
+			for _, result := range results.Tasks {
+				if result.Outcome == rack.OutcomeStarted {
+					started++
+				}
+			}
+			if missing > 0 {
+				return
+			}
+			j.gang = gangIdle
+			if started < total {
+				q.breakGang(j, q.Now())
+			}
+		})
+	}
+}
+
+// giveBack releases holds. A hold was never started, so its task is pending again at once.
+func (q *Queue) giveBack(j *job, batches map[shard.ID][]rack.TaskSpec) {
+	now := q.Now()
+	for id, specs := range batches {
+		req := rack.TaskRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Tasks: specs}
+		q.Stop(req, func(rack.Results, error) {})
+		for _, spec := range specs {
+			if t, ok := q.tasks[spec.ID]; ok {
+				q.again(t, now)
+			}
+		}
+	}
+	j.gang = gangIdle
+	j.retryAt = now.Add(minGangDelay + rand.N(maxGangDelay-minGangDelay))
+	j.reason = "another job took the room that the gang was to have"
+	if j.record.Cancelled {
+		q.cancelTasks(j)
+		q.settleJob(j)
+	}
+}
+
+// breakGang stops the members of a gang that still run, because the gang runs
+// whole or not at all.
+func (q *Queue) breakGang(j *job, now time.Time) {
+	j.gang = gangBroken
+	for _, t := range j.tasks {
+		if t.state == TaskRunning {
+			q.setState(t, TaskStopping)
+			q.stop(t)
+		}
+	}
+	q.settleGang(j, now)
+}
+
+// settleGang begins a broken gang anew once none of its members runs, or ends
+// it when a member has failed for good.
+func (q *Queue) settleGang(j *job, now time.Time) {
+	if j.record.Policy.Kind != config.KindGang || j.record.Cancelled || j.gang == gangHolding || j.gang == gangStarting {
+		return
+	}
+	running, pending, lost := 0, 0, false
+	for _, t := range j.tasks {
+		switch {
+		case t.state.occupies():
+			running++
+		case t.state == TaskPending:
+			pending++
+		case t.state == TaskFailed || t.state == TaskUnknown:
+			lost = true
+		}
+	}
+	if j.gang != gangBroken && running > 0 && (pending > 0 || lost) {
+		q.breakGang(j, now)
+		return
+	}
+	if running > 0 {
+		return
+	}
+	j.gang = gangIdle
+	for _, t := range j.tasks {
+		if lost && t.state == TaskPending {
+			q.setState(t, TaskCancelled)
+		}
+		if !lost && pending > 0 && t.state == TaskDone {
+			// A gang that begins anew needs all of its members.
+			t.job.open++
+			t.job.pending++
+			t.state = TaskPending
+		}
+	}
+	j.retryAt = now.Add(minGangDelay)
+}
--- /dev/null
+++ b/internal/job/messages.go
@@ -0,0 +1,174 @@
+package job
+
+import (
+	"encoding/json"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/resource"
+)
+
+// Spec is what a caller submits.
+type Spec struct {
+	// SubmissionID makes a repeated submission find the first one's job.
+	SubmissionID string          `json:"submission-id,omitempty"`
+	Route        string          `json:"route"`
+	Tasks        int             `json:"tasks"`
+	Want         resource.Vector `json:"want"`
+	Payload      json.RawMessage `json:"payload,omitempty"`
+}
+
+// State is the state of a job.
+type State string
+
+// The states of a job.
+const (
+	StateQueued     State = "queued"
+	StateRunning    State = "running"
+	StateCancelling State = "cancelling"
+	StateDone       State = "done"
+	StateFailed     State = "failed"
+	StateCancelled  State = "cancelled"
+)
+
+// Terminal reports whether a job in this state changes no more.
+func (s State) Terminal() bool { return s == StateDone || s == StateFailed || s == StateCancelled }
+
+// TaskState is the state of a task of a job.
+type TaskState string
+
+// The states of a task.
+const (
+	TaskPending   TaskState = "pending"
+	TaskPlacing   TaskState = "placing"
+	TaskRunning   TaskState = "running"
+	TaskUncertain TaskState = "uncertain" // whether it runs is being found out
+	TaskStopping  TaskState = "stopping"
+	TaskDone      TaskState = "done"
+	TaskFailed    TaskState = "failed"
+	TaskCancelled TaskState = "cancelled"
+	TaskUnknown   TaskState = "unknown" // it may have run and must not run again
+)
+
+// Terminal reports whether a task in this state changes no more.
+func (s TaskState) Terminal() bool {
+	return s == TaskDone || s == TaskFailed || s == TaskCancelled || s == TaskUnknown
+}
+
+// occupies reports whether a task in this state counts against the team's limit.
+func (s TaskState) occupies() bool {
+	return s == TaskPlacing || s == TaskRunning || s == TaskUncertain || s == TaskStopping
+}
+
+// TaskView shows one task.
+type TaskView struct {
+	Index     int       `json:"index"`
+	State     TaskState `json:"state"`
+	Worker    string    `json:"worker,omitempty"`
+	Output    string    `json:"output,omitempty"`
+	Truncated bool      `json:"output-truncated,omitempty"`
+	Failures  int       `json:"failures,omitempty"`
+	Reason    string    `json:"reason,omitempty"`
+}
+
+// View shows a job.
+type View struct {
+	ID      string            `json:"id"`
+	Team    string            `json:"team"`
+	Route   string            `json:"route"`
+	Pool    string            `json:"pool"`
+	Kind    config.Kind       `json:"kind"`
+	State   State             `json:"state"`
+	Created time.Time         `json:"created"`
+	Counts  map[TaskState]int `json:"counts"`
+	Tasks   []TaskView        `json:"tasks"`
+	Reason  string            `json:"reason,omitempty"`
+}
+
+// RefusalCode tells why a call was refused.
+type RefusalCode string
+
+// The codes of refusals.
+const (
+	RefusedNotOwner   RefusalCode = "not-owner"
+	RefusedNotFound   RefusalCode = "not-found"
+	RefusedBadRequest RefusalCode = "bad-request"
+	RefusedImpossible RefusalCode = "impossible"
+	RefusedStoreDown  RefusalCode = "store-down"
+	RefusedUnknown    RefusalCode = "unknown"
+)
+
+// Reply answers a call about a job: a view or a refusal.
+type Reply struct {
+	Job     *View       `json:"job,omitempty"`
+	Refused RefusalCode `json:"refused,omitempty"`
+	Reason  string      `json:"reason,omitempty"`
+}
+
+// SubmitRequest carries a submission to the owner of the team's queue.
+type SubmitRequest struct {
+	Team string `json:"team"`
+	ID   string `json:"id"`
+	Spec Spec   `json:"spec"`
+}
+
+// Ref names a job of a team. Wait bounds how long a look-up waits for the end.
+type Ref struct {
+	Team   string `json:"team"`
+	ID     string `json:"id"`
+	WaitMS int64  `json:"wait-ms,omitempty"`
+}
+
+// TaskRecord is the durable part of a task.
+type TaskRecord struct {
+	Index    int       `json:"index"`
+	State    TaskState `json:"state"`
+	Output   string    `json:"output,omitempty"`
+	Cut      bool      `json:"output-truncated,omitempty"`
+	Worker   string    `json:"worker,omitempty"`
+	Failures int       `json:"failures,omitempty"`
+	// Begun is set before the start of a task that must not run twice.
+	Begun bool `json:"begun,omitempty"`
+}
+
+// Record is the durable part of a job. Tasks lists only those that have ended or begun.
+type Record struct {
+	ID        string       `json:"id"`
+	Spec      Spec         `json:"spec"`
+	Pool      string       `json:"pool"`
+	Policy    config.Pool  `json:"policy"`
+	Created   time.Time    `json:"created"`
+	Ended     time.Time    `json:"ended,omitzero"`
+	Cancelled bool         `json:"cancelled,omitempty"`
+	Tasks     []TaskRecord `json:"tasks,omitempty"`
+}
+
+// Segment is the value of one store key: a number of jobs written together.
+type Segment struct {
+	Number int      `json:"number"`
+	Epoch  int64    `json:"epoch"`
+	Jobs   []Record `json:"jobs"`
+
+	Revision int64 `json:"-"`
+}
+
+// Summary is what other processes learn of a team's queue from heartbeats.
+type Summary struct {
+	Team    string          `json:"team"`
+	Running int64           `json:"running"`
+	Used    resource.Vector `json:"used"`
+	// Pending is what the team would use beyond Used if it could, within its limit.
+	Pending resource.Vector `json:"pending"`
+	// Urgent is the part of Pending that is urgent.
+	Urgent  resource.Vector `json:"urgent,omitzero"`
+	Waiting int64           `json:"waiting"`
+}
+
+const (
+	// MaxTasks bounds the tasks of one job.
+	MaxTasks = 1000
+	// MaxPayload bounds the payload of one job in bytes.
+	MaxPayload = 64 << 10
+	// maxOutput bounds what is kept of a task's output in bytes.
+	maxOutput = 512
+)
--- /dev/null
+++ b/internal/job/recover.go
@@ -0,0 +1,274 @@
+package job
+
+import (
+	"fmt"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/invariant"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/worker"
+)
+
+// reportRetry is the time between two questions to a rack that has not reported.
+const reportRetry = 300 * time.Millisecond
+
+// restore rebuilds the queue from its segments.
+func (q *Queue) restore(segments []Segment) {
+	for _, stored := range segments {
+		seg := &segment{number: stored.Number, revision: stored.Revision}
+		for _, record := range stored.Jobs {
+			if _, ok := q.jobs[record.ID]; ok {
+				continue
+			}
+			j := q.restoreJob(record)
+			j.segment = seg
+			seg.jobs = append(seg.jobs, j)
+			seg.bytes += recordBytes + len(record.Spec.Payload) + len(j.tasks)*taskBytes
+		}
+		q.segments[seg.number] = seg
+		q.current = max(q.current, seg.number)
+	}
+	q.current++
+}
+
+// restoreJob rebuilds one job. Tasks that had not ended may be running somewhere.
+func (q *Queue) restoreJob(record Record) *job {
+	rows := record.Tasks
+	record.Tasks = nil
+	j := q.addJob(record)
+	j.segment = &segment{}
+	for _, row := range rows {
+		if row.Index < 0 || row.Index >= len(j.tasks) {
+			continue
+		}
+		t := j.tasks[row.Index]
+		t.failures, t.begun = row.Failures, row.Begun
+		t.output, t.cut, t.worker = row.Output, row.Cut, row.Worker
+		if row.State.Terminal() {
+			q.setState(t, row.State)
+		}
+	}
+	if record.Cancelled {
+		j.machine.fire(triggerCancel)
+	}
+	if j.open == 0 {
+		q.restoreEnd(j)
+		return j
+	}
+	for _, t := range j.tasks {
+		if t.state == TaskPending {
+			q.setState(t, TaskUncertain)
+		}
+	}
+	return j
+}
+
+func (q *Queue) restoreEnd(j *job) {
+	ended := j.record.Ended
+	q.settleJob(j)
+	if !ended.IsZero() {
+		j.record.Ended = ended
+	}
+}
+
+// recover asks racks what runs until all have told.
+func (q *Queue) recover(now time.Time) {
+	if q.recovered || now.Before(q.nextAsk) {
+		return
+	}
+	q.nextAsk = now.Add(reportRetry)
+	missing := 0
+	for _, id := range q.AllRacks() {
+		if q.recovery[id] {
+			continue
+		}
+		missing++
+		q.askRack(id)
+	}
+	if missing == 0 {
+		q.finishRecovery()
+	}
+}
+
+func (q *Queue) askRack(id shard.ID) {
+	req := rack.ReportRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch}
+	q.Report(req, func(report rack.Report, err error) {
+		if err != nil || report.NotOwner {
+			return
+		}
+		for _, row := range report.Rows {
+			q.adopt(id, row)
+		}
+		if report.Complete {
+			q.recovery[id] = true
+		}
+	})
+}
+
+// adopt attaches a task that a rack reports to its job.
+func (q *Queue) adopt(id shard.ID, row rack.ReportRow) {
+	if _, known := q.tasks[row.ID]; known {
+		return
+	}
+	j, ok := q.jobs[row.Job]
+	if !ok || row.Index < 0 || row.Index >= len(j.tasks) {
+		q.stopOrphan(id, row)
+		return
+	}
+	t := j.tasks[row.Index]
+	if t.state != TaskUncertain || t.id != "" {
+		if !row.Ended.Live() && row.Ended != "" {
+			return
+		}
+		q.Checks.Check(invariant.SingleRun, t.state.Terminal(), "task", row.ID, "other", t.id)
+		q.stopOrphan(id, row)
+		return
+	}
+	t.id, t.shard, t.worker = row.ID, id, row.Worker
+	q.tasks[row.ID] = t
+	t.state = TaskRunning
+	t.startedAt = q.Now()
+	j.machine.fire(triggerStart)
+	if j.record.Cancelled {
+		q.setState(t, TaskStopping)
+		q.stop(t)
+	}
+}
+
+func (q *Queue) stopOrphan(id shard.ID, row rack.ReportRow) {
+	req := rack.TaskRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Tasks: []rack.TaskSpec{{ID: row.ID}}}
+	q.Stop(req, func(rack.Results, error) {})
+}
+
+// finishRecovery releases the tasks that run nowhere.
+func (q *Queue) finishRecovery() {
+	q.recovered = true
+	for _, j := range append([]*job{}, q.order...) {
+		for _, t := range j.tasks {
+			if t.state == TaskUncertain && t.id == "" {
+				q.notRunning(t)
+			}
+		}
+		q.settleJob(j)
+	}
+}
+
+// notRunning takes back a task that is proved to run nowhere, though it may
+// have run before.
+func (q *Queue) notRunning(t *task) {
+	switch {
+	case t.job.record.Cancelled:
+		q.setState(t, TaskCancelled)
+	case t.begun && !t.job.record.Policy.Idempotent:
+		q.setState(t, TaskUnknown)
+	default:
+		q.setState(t, TaskPending)
+	}
+}
+
+// Ended records what racks tell of tasks that run no more, and answers with
+// those whose record is durable.
+func (q *Queue) Ended(batch rack.EndedBatch, now time.Time) (reply rack.EndedReply) {
+	q.init()
+	if !q.Ready() || !q.MayStart(now) {
+		return rack.EndedReply{}
+	}
+	for _, ended := range batch.Tasks {
+		if q.endedOne(batch.Shard, ended, now) {
+			reply.Recorded = append(reply.Recorded, ended.ID)
+		}
+	}
+	q.flush(now)
+	q.schedule(now)
+	return reply
+}
+
+func (q *Queue) endedOne(id shard.ID, ended rack.Ended, now time.Time) (recorded bool) {
+	t, ok := q.tasks[ended.ID]
+	if !ok {
+		t, ok = q.uncertain(ended)
+	}
+	if !ok {
+		j, known := q.jobs[ended.Job]
+		return !known || !j.segment.dirty()
+	}
+	if t.id == "" {
+		t.id, t.shard = ended.ID, id
+	}
+	q.applyEnded(t, ended, now)
+	return !t.job.segment.dirty()
+}
+
+// uncertain finds the task of an attempt that an earlier owner of the queue made.
+func (q *Queue) uncertain(ended rack.Ended) (t *task, ok bool) {
+	j, ok := q.jobs[ended.Job]
+	if !ok || ended.Index < 0 || ended.Index >= len(j.tasks) {
+		return nil, false
+	}
+	t = j.tasks[ended.Index]
+	return t, t.state == TaskUncertain && t.id == ""
+}
+
+func (q *Queue) applyEnded(t *task, ended rack.Ended, now time.Time) {
+	policy := t.job.record.Policy
+	t.worker = ended.Worker
+	switch {
+	case ended.State == worker.StateFinished && policy.Kind != config.KindService:
+		t.output, t.cut = cutOutput(ended.Output)
+		q.setState(t, TaskDone)
+	case t.job.record.Cancelled:
+		q.setState(t, TaskCancelled)
+	case ended.State == rack.StateNotStarted:
+		q.again(t, now)
+	case ended.State == worker.StateFailed:
+		q.failed(t, ended, now)
+	case !policy.Idempotent && policy.Kind != config.KindService:
+		t.output = fmt.Sprintf("ended as %s before it finished", ended.State)
+		q.setState(t, TaskUnknown)
+	default:
+		t.resume = ended.Resume
+		q.again(t, now)
+	}
+	q.settleGang(t.job, now)
+	q.settleJob(t.job)
+}
+
+func cutOutput(output string) (kept string, cut bool) {
+	if len(output) <= maxOutput {
+		return output, false
+	}
+	return output[:maxOutput], true
+}
+
+// failed counts a failure and runs the task again while the pool's retry
+// budget lasts, on another worker if there is one.
+func (q *Queue) failed(t *task, ended rack.Ended, now time.Time) {
+	policy := t.job.record.Policy
+	t.failures++
+	t.output, t.cut = cutOutput(ended.Output)
+	t.job.segment.touch()
+	if policy.Kind != config.KindService && (t.failures > policy.Retries || !policy.Idempotent) {
+		q.setState(t, TaskFailed)
+		return
+	}
+	const avoided = 3
+	t.avoid = append(t.avoid, ended.Worker)
+	if len(t.avoid) > avoided {
+		t.avoid = t.avoid[1:]
+	}
+	q.again(t, now)
+	t.retryAt = now.Add(min(time.Duration(t.failures)*retryDelay, maxRetryDelay))
+}
+
+const (
+	retryDelay    = 100 * time.Millisecond
+	maxRetryDelay = 10 * time.Second
+)
+
+func (q *Queue) again(t *task, now time.Time) {
+	q.setState(t, TaskPending)
+	t.id, t.shard = "", ""
+	t.retryAt = now
+}
--- /dev/null
+++ b/internal/job/schedule.go
@@ -0,0 +1,346 @@
+package job
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/invariant"
+	"turmericspread.org/turmericspread/internal/placement"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/shard"
+)
+
+const (
+	// maxCalls bounds the placements of a queue under way at a time.
+	maxCalls = 64
+	// batchTasks bounds the tasks of one call to a rack.
+	batchTasks = 32
+	// noRoomDelay is how long a job waits after no rack had room for it.
+	noRoomDelay = 50 * time.Millisecond
+)
+
+// Tick advances everything that waits for time.
+func (q *Queue) Tick(now time.Time) {
+	q.init()
+	if !q.open {
+		q.Open(now)
+		return
+	}
+	if !q.MayStart(now) {
+		return
+	}
+	q.recover(now)
+	q.flush(now)
+	q.schedule(now)
+	q.repeatStops(now)
+	q.expire(now)
+}
+
+// plan is one round of decisions over a copy of what is free.
+type plan struct {
+	free  map[shard.ID][]resource.Vector
+	order []shard.ID
+	place map[shard.ID]string
+	batch map[shard.ID][]rack.TaskSpec
+}
+
+func (q *Queue) newPlan() *plan {
+	p := &plan{
+		free:  map[shard.ID][]resource.Vector{},
+		place: map[shard.ID]string{},
+		batch: map[shard.ID][]rack.TaskSpec{},
+	}
+	for _, summary := range q.Racks() {
+		if newer, ok := q.views[summary.Shard]; ok {
+			summary = newer
+		}
+		if !summary.Ready {
+			continue
+		}
+		p.free[summary.Shard] = slices.Clone(summary.Free)
+		p.place[summary.Shard] = summary.Place
+		p.order = append(p.order, summary.Shard)
+	}
+	for _, t := range q.tasks {
+		if t.state == TaskPlacing {
+			p.take(t.shard, t.job.record.Spec.Want)
+		}
+	}
+	return p
+}
+
+// take notes that want will be used in a rack.
+func (p *plan) take(id shard.ID, want resource.Vector) {
+	i := placement.BestFit(p.free[id], want)
+	if i >= 0 {
+		p.free[id][i] = p.free[id][i].Sub(want)
+	}
+}
+
+// ForgetViews drops answers of racks once newer summaries have come by heartbeat.
+func (q *Queue) ForgetViews() {
+	q.init()
+	clear(q.views)
+}
+
+// schedule places pending tasks: urgent jobs first, then the oldest.
+func (q *Queue) schedule(now time.Time) {
+	if !q.open || q.draining || !q.MayStart(now) || q.calls >= maxCalls {
+		return
+	}
+	if !slices.ContainsFunc(q.order, func(j *job) bool { return j.pending > 0 }) {
+		return
+	}
+	p := q.newPlan()
+	for _, urgent := range []bool{true, false} {
+		for _, j := range q.order {
+			if j.urgent == urgent && j.pending > 0 && !now.Before(j.retryAt) {
+				q.scheduleJob(j, p, now)
+			}
+		}
+	}
+	for _, id := range p.order {
+		for batch := range slices.Chunk(p.batch[id], batchTasks) {
+			q.sendPlace(id, batch)
+		}
+	}
+}
+
+func (q *Queue) scheduleJob(j *job, p *plan, now time.Time) {
+	if j.segment.saved == 0 && j.segment.revision == 0 || !q.durable(j) {
+		return
+	}
+	if j.record.Policy.Kind == config.KindGang {
+		q.scheduleGang(j, p, now)
+		return
+	}
+	for _, t := range j.tasks {
+		if t.state != TaskPending || now.Before(t.retryAt) {
+			continue
+		}
+		if !q.admit(j, 1) {
+			return
+		}
+		id, ok := q.choose(j, p)
+		if !ok {
+			j.retryAt = now.Add(noRoomDelay)
+			j.reason = fmt.Sprintf("no rack has room for %s", j.record.Spec.Want)
+			return
+		}
+		j.reason = ""
+		q.begin(t, id)
+		p.take(id, j.record.Spec.Want)
+		p.batch[id] = append(p.batch[id], t.spec())
+	}
+}
+
+// durable reports whether the store has what must be there before the job's
+// tasks start, and journals the start of tasks that must not run twice.
+func (q *Queue) durable(j *job) bool {
+	if !j.record.Policy.Idempotent {
+		for _, t := range j.tasks {
+			if t.state == TaskPending && !t.begun {
+				t.begun = true
+				j.segment.touch()
+			}
+		}
+		return !j.segment.dirty()
+	}
+	return j.accepted()
+}
+
+func (j *job) accepted() bool { return j.segment.saved > 0 || j.segment.revision > 0 }
+
+// admit reports whether the team's limit and share let n more tasks of j run.
+func (q *Queue) admit(j *job, n int64) bool {
+	limit := q.Tables().Teams[q.Team].Limit
+	if q.running+n > limit {
+		j.reason = fmt.Sprintf("the team's limit of %d running tasks is reached", limit)
+		return false
+	}
+	if !q.MayUse(q.used, j.record.Spec.Want.Scale(n)) {
+		j.reason = "the cell is full and the team has its share"
+		return false
+	}
+	return true
+}
+
+// begin marks a task as being placed in a rack, under a new attempt.
+func (q *Queue) begin(t *task, id shard.ID) {
+	q.attempts++
+	t.id = fmt.Sprintf("%s.%d.%d-%d", t.job.record.ID, t.index, q.Epoch, q.attempts)
+	t.shard, t.worker = id, ""
+	q.setState(t, TaskPlacing)
+	q.tasks[t.id] = t
+	limit := q.Tables().Teams[q.Team].Limit
+	q.Checks.Check(invariant.TeamLimit, q.running <= limit, "team", q.Team, "running", q.running, "limit", limit)
+}
+
+func (t *task) spec() rack.TaskSpec {
+	policy := t.job.record.Policy
+	return rack.TaskSpec{
+		ID: t.id, Job: t.job.record.ID, Index: t.index, Want: t.job.record.Spec.Want,
+		Payload: t.job.record.Spec.Payload, Resume: t.resume, Avoid: t.avoid,
+		NonIdempotent: !policy.Idempotent, LongRunning: policy.Kind == config.KindService,
+	}
+}
+
+// choose picks the rack for a task: services are spread over places and racks,
+// other work goes where it leaves the least room.
+func (q *Queue) choose(j *job, p *plan) (best shard.ID, ok bool) {
+	want := j.record.Spec.Want
+	service := j.record.Policy.Kind == config.KindService
+	var inRack, inPlace map[string]int
+	if service {
+		inRack, inPlace = spread(j)
+	}
+	var bestLeft resource.Vector
+	var bestCount [2]int
+	for _, id := range p.order {
+		if !j.record.Policy.AllowsPlace(p.place[id]) {
+			continue
+		}
+		i := placement.BestFit(p.free[id], want)
+		if i < 0 {
+			continue
+		}
+		left := p.free[id][i].Sub(want)
+		count := [2]int{inPlace[p.place[id]], inRack[string(id)]}
+		better := !ok || placement.Tighter(left, bestLeft)
+		if service && ok && count != bestCount {
+			better = count[0] < bestCount[0] || count[0] == bestCount[0] && count[1] < bestCount[1]
+		}
+		if better {
+			best, bestLeft, bestCount, ok = id, left, count, true
+		}
+	}
+	return best, ok
+}
+
+func spread(j *job) (inRack, inPlace map[string]int) {
+	inRack, inPlace = map[string]int{}, map[string]int{}
+	for _, t := range j.tasks {
+		if t.state.occupies() && t.shard != "" {
+			inRack[string(t.shard)]++
+			inPlace[t.shard.Place()]++
+		}
+	}
+	return inRack, inPlace
+}
+
+func (q *Queue) sendPlace(id shard.ID, specs []rack.TaskSpec) {
+	q.calls++
+	req := rack.PlaceRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Tasks: specs}
+	q.Place(req, func(results rack.Results, err error) {
+		q.calls--
+		q.placed(id, specs, results, err)
+		q.schedule(q.Now())
+	})
+}
+
+func (q *Queue) placed(id shard.ID, specs []rack.TaskSpec, results rack.Results, err error) {
+	if results.Summary.Shard != "" {
+		q.views[id] = results.Summary
+	}
+	outcomes := map[string]rack.TaskResult{}
+	for _, result := range results.Tasks {
+		outcomes[result.ID] = result
+	}
+	for _, spec := range specs {
+		t, ok := q.tasks[spec.ID]
+		if !ok || t.state != TaskPlacing {
+			continue
+		}
+		outcome := rack.OutcomeUnknown
+		result, answered := outcomes[spec.ID]
+		switch {
+		case answered:
+			outcome = result.Outcome
+		case results.NotOwner || notSent(err):
+			outcome = rack.OutcomeNoRoom
+		}
+		q.placedOne(t, outcome, result.Worker)
+	}
+}
+
+func (q *Queue) placedOne(t *task, outcome rack.Outcome, name string) {
+	now := q.Now()
+	switch outcome {
+	case rack.OutcomeStarted:
+		t.worker, t.startedAt = name, now
+		q.setState(t, TaskRunning)
+		t.job.machine.fire(triggerStart)
+	case rack.OutcomeNoRoom, rack.OutcomeFenced, rack.OutcomeStopped:
+		q.again(t, now)
+		t.retryAt = now.Add(noRoomDelay)
+	default:
+		q.setState(t, TaskUncertain)
+		t.nextAsk = now.Add(reportRetry)
+	}
+	if t.job.record.Cancelled {
+		q.cancelTasks(t.job)
+		q.settleJob(t.job)
+	}
+}
+
+// repeatStops asks again for tasks whose stop or fate is not confirmed.
+func (q *Queue) repeatStops(now time.Time) {
+	for _, t := range q.tasks {
+		if now.Before(t.nextAsk) {
+			continue
+		}
+		switch {
+		case t.state == TaskStopping:
+			q.stop(t)
+		case t.state == TaskUncertain && t.id != "":
+			q.resolve(t)
+		}
+	}
+}
+
+// stop asks the owner of the task's rack to stop it.
+func (q *Queue) stop(t *task) {
+	const again = time.Second
+	t.nextAsk = q.Now().Add(again)
+	if t.shard == "" {
+		return
+	}
+	req := rack.TaskRequest{Shard: t.shard, Team: q.Team, TeamEpoch: q.Epoch, Tasks: []rack.TaskSpec{{ID: t.id}}}
+	id := t.id
+	q.Stop(req, func(results rack.Results, _ error) {
+		for _, result := range results.Tasks {
+			if result.ID == id && result.Outcome == rack.OutcomeStopped && q.tasks[id] == t {
+				q.notRunning(t)
+				q.settleJob(t.job)
+			}
+		}
+	})
+}
+
+// resolve finds out whether a task runs whose start was not answered: a rack
+// that reports completely and does not list it never will run it.
+func (q *Queue) resolve(t *task) {
+	t.nextAsk = q.Now().Add(reportRetry)
+	id := t.id
+	req := rack.ReportRequest{Shard: t.shard, Team: q.Team, TeamEpoch: q.Epoch}
+	q.Report(req, func(report rack.Report, err error) {
+		if err != nil || report.NotOwner || q.tasks[id] != t || t.state != TaskUncertain {
+			return
+		}
+		for _, row := range report.Rows {
+			if row.ID == id {
+				t.worker = row.Worker
+				q.setState(t, TaskRunning)
+				t.job.machine.fire(triggerStart)
+				return
+			}
+		}
+		if report.Complete {
+			q.notRunning(t)
+			q.settleJob(t.job)
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,153 @@
+// Package peer carries messages between entry processes: drpc over TCP with
+// CBOR bodies.
+//
+// # Usage
+//
+//	mux := peer.NewMux()
+//	peer.Handle(mux, "heartbeat", func(ctx context.Context, in *Heartbeat) (*Reply, error) { ... })
+//	go peer.Serve(ctx, listener, mux)
+//
+//	client := peer.NewClient()
+//	reply, err := peer.Call[Heartbeat, Reply](ctx, client, address, "heartbeat", &beat)
+//
+// A call that fails with ErrUnreachable was never sent. After any other error
+// the peer may have acted on the call. A connection whose exchange did not end
+// cleanly is closed and never used again.
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("peer")
+
+// ErrUnreachable is the class of errors after which nothing was sent.
+var ErrUnreachable = errs.Class("peer unreachable")
+
+const (
+	dialTimeout      = time.Second
+	connectionExpiry = time.Minute
+	maxIdlePerPeer   = 64
+	// MaxMessageBytes bounds one message in either direction.
+	MaxMessageBytes = 96 << 20
+)
+
+type encoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (encoding) Marshal(msg drpc.Message) ([]byte, error) { return cbor.Marshal(msg) }
+
+// Unmarshal implements drpc.Encoding.
+func (encoding) Unmarshal(buf []byte, msg drpc.Message) error { return cbor.Unmarshal(buf, msg) }
+
+// Mux dispatches calls by name. Register all handlers before Serve.
+type Mux struct {
+	handlers map[string]func(stream drpc.Stream) error
+}
+
+// NewMux returns an empty Mux.
+func NewMux() *Mux { return &Mux{handlers: map[string]func(drpc.Stream) error{}} }
+
+// HandleRPC implements drpc.Handler.
+func (m *Mux) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	handler, ok := m.handlers[rpc]
+	if !ok {
+		return Error.New("unknown call %q", rpc)
+	}
+	return handler(stream)
+}
+
+// Handle registers fn for calls named rpc.
+func Handle[In, Out any](m *Mux, rpc string, fn func(ctx context.Context, in *In) (out *Out, err error)) {
+	m.handlers[rpc] = func(stream drpc.Stream) (err error) {
+		in := new(In)
+		if err := stream.MsgRecv(in, encoding{}); err != nil {
+			return Error.Wrap(err)
+		}
+		out, err := fn(stream.Context(), in)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		return Error.Wrap(stream.MsgSend(out, encoding{}))
+	}
+}
+
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{
+		Reader: drpcwire.ReaderOptions{MaximumBufferSize: MaxMessageBytes},
+		Stream: drpcstream.Options{MaximumBufferSize: MaxMessageBytes},
+	}
+}
+
+// Serve answers calls on listener until ctx ends.
+func Serve(ctx context.Context, listener net.Listener, mux *Mux) (err error) {
+	defer Error.WrapP(&err)
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
+	return server.Serve(ctx, listener)
+}
+
+// Client makes calls and keeps connections for reuse.
+type Client struct {
+	// Dial opens a connection; tests replace it.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	pool  *drpcpool.Pool[string, *drpcconn.Conn]
+	calls atomic.Int64
+}
+
+// NewClient returns a Client that dials TCP.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		},
+		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+			Expiration:  connectionExpiry,
+			KeyCapacity: maxIdlePerPeer,
+		}),
+	}
+}
+
+// Calls returns how many calls were made.
+func (c *Client) Calls() int64 { return c.calls.Load() }
+
+// Close closes all idle connections.
+func (c *Client) Close() (err error) { return Error.Wrap(c.pool.Close()) }
+
+func (c *Client) dial(ctx context.Context, address string) (conn *drpcconn.Conn, err error) {
+	transport, err := c.Dial(ctx, address)
+	if err != nil {
+		return nil, ErrUnreachable.Wrap(err)
+	}
+	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// Call sends in to address and waits for the answer.
+func Call[In, Out any](ctx context.Context, c *Client, address, rpc string, in *In) (out *Out, err error) {
+	defer Error.WrapP(&err)
+	c.calls.Add(1)
+	if err := ctx.Err(); err != nil {
+		return nil, ErrUnreachable.Wrap(err)
+	}
+	out = new(Out)
+	conn := c.pool.Get(ctx, address, c.dial)
+	if err := conn.Invoke(ctx, rpc, encoding{}, in, out); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/rack/dump.go
@@ -0,0 +1,76 @@
+package rack
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/shard"
+)
+
+// TaskDump shows a task on a worker.
+type TaskDump struct {
+	ID       string          `json:"id"`
+	Team     string          `json:"team"`
+	State    string          `json:"state"`
+	Want     resource.Vector `json:"want"`
+	Usage    resource.Vector `json:"usage"`
+	LeaseEnd time.Time       `json:"lease-end,omitzero"`
+	Adopted  bool            `json:"adopted,omitempty"`
+}
+
+// WorkerDump shows a worker.
+type WorkerDump struct {
+	Name        string          `json:"name"`
+	State       string          `json:"state"`
+	Leaving     bool            `json:"leaving,omitempty"`
+	Quarantined bool            `json:"quarantined,omitempty"`
+	Capacity    resource.Vector `json:"capacity"`
+	Used        resource.Vector `json:"used"`
+	LastAnswer  time.Time       `json:"last-answer"`
+	Tasks       []TaskDump      `json:"tasks"`
+}
+
+// Dump shows a rack.
+type Dump struct {
+	Shard   shard.ID     `json:"shard"`
+	Epoch   int64        `json:"epoch"`
+	Workers []WorkerDump `json:"workers"`
+}
+
+// Dump returns the whole state of the rack.
+func (r *Rack) Dump() (d Dump) {
+	d = Dump{Shard: r.ID, Epoch: r.Epoch}
+	for _, name := range slices.Sorted(maps.Keys(r.nodes)) {
+		n := r.nodes[name]
+		row := WorkerDump{
+			Name: name, State: n.state(), Leaving: n.host.Leaving(), Quarantined: n.health.quarantined,
+			Capacity: n.host.Capacity, Used: n.used, LastAnswer: n.lastAnswer,
+		}
+		for _, t := range sortedTasks(n) {
+			row.Tasks = append(row.Tasks, TaskDump{
+				ID: t.spec.ID, Team: t.team, State: string(t.state), Want: t.spec.Want,
+				Usage: t.usage, LeaseEnd: t.leaseEnd, Adopted: t.adopted,
+			})
+		}
+		d.Workers = append(d.Workers, row)
+	}
+	return d
+}
+
+// OutOfService returns the workers that get no work, with the reason.
+func (r *Rack) OutOfService() map[string]string {
+	reasons := map[string]string{}
+	for name, n := range r.nodes {
+		switch {
+		case n.state() == nodeAdopting:
+			reasons[name] = "not heard since its rack changed owner"
+		case n.state() == nodeUnreachable:
+			reasons[name] = "does not answer"
+		case n.health.quarantined:
+			reasons[name] = "quarantined after failing every task"
+		}
+	}
+	return reasons
+}
--- /dev/null
+++ b/internal/rack/messages.go
@@ -0,0 +1,133 @@
+package rack
+
+import (
+	"encoding/json"
+
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/worker"
+)
+
+// Outcome is what became of one task of a call.
+type Outcome string
+
+// The outcomes. Only OutcomeUnknown leaves open whether the task runs; a
+// message about its end follows.
+const (
+	OutcomeStarted Outcome = "started"
+	OutcomeHeld    Outcome = "held"
+	OutcomeNoRoom  Outcome = "no-room"
+	OutcomeFenced  Outcome = "fenced"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeStopped Outcome = "stopped"
+)
+
+// TaskSpec is one task to place. ID is unique for each attempt.
+type TaskSpec struct {
+	ID            string          `json:"id"`
+	Job           string          `json:"job"`
+	Index         int             `json:"index"`
+	Want          resource.Vector `json:"want"`
+	Payload       json.RawMessage `json:"payload,omitempty"`
+	Resume        []byte          `json:"resume,omitempty"`
+	NonIdempotent bool            `json:"non-idempotent,omitempty"`
+	// LongRunning tasks do not end by themselves.
+	LongRunning bool `json:"long-running,omitempty"`
+	// Avoid lists workers that the task should not run on.
+	Avoid []string `json:"avoid,omitempty"`
+}
+
+// PlaceRequest asks the owner of a rack to run tasks, or only to hold
+// resources for them until the lease ends.
+type PlaceRequest struct {
+	Shard     shard.ID   `json:"shard"`
+	Team      string     `json:"team"`
+	TeamEpoch int64      `json:"team-epoch"`
+	Hold      bool       `json:"hold,omitempty"`
+	Tasks     []TaskSpec `json:"tasks"`
+}
+
+// TaskRequest names tasks to start under their holds, or to stop.
+type TaskRequest struct {
+	Shard     shard.ID   `json:"shard"`
+	Team      string     `json:"team"`
+	TeamEpoch int64      `json:"team-epoch"`
+	Tasks     []TaskSpec `json:"tasks"`
+}
+
+// TaskResult is the outcome of one task.
+type TaskResult struct {
+	ID      string  `json:"id"`
+	Outcome Outcome `json:"outcome"`
+	Worker  string  `json:"worker,omitempty"`
+}
+
+// Results answers PlaceRequest and TaskRequest. NotOwner means that nothing was done.
+type Results struct {
+	NotOwner bool         `json:"not-owner,omitempty"`
+	Tasks    []TaskResult `json:"tasks,omitempty"`
+	// Summary is the state of the rack after the call.
+	Summary Summary `json:"summary,omitzero"`
+}
+
+// ReportRequest asks for all tasks of a team and fences lower team epochs.
+type ReportRequest struct {
+	Shard     shard.ID `json:"shard"`
+	Team      string   `json:"team"`
+	TeamEpoch int64    `json:"team-epoch"`
+}
+
+// ReportRow is one task of a report.
+type ReportRow struct {
+	ID     string          `json:"id"`
+	Job    string          `json:"job"`
+	Index  int             `json:"index"`
+	Worker string          `json:"worker"`
+	Want   resource.Vector `json:"want"`
+	Ended  worker.State    `json:"ended,omitempty"`
+}
+
+// Report answers ReportRequest. Complete means that no task of the team that
+// is not listed may run in the rack.
+type Report struct {
+	NotOwner bool        `json:"not-owner,omitempty"`
+	Complete bool        `json:"complete"`
+	Rows     []ReportRow `json:"rows,omitempty"`
+}
+
+// Ended tells a team's queue that a task runs no more. It is repeated until
+// the queue has acknowledged it.
+type Ended struct {
+	ID     string       `json:"id"`
+	Job    string       `json:"job"`
+	Index  int          `json:"index"`
+	Worker string       `json:"worker"`
+	State  worker.State `json:"state"`
+	Output string       `json:"output,omitempty"`
+	Resume []byte       `json:"resume,omitempty"`
+}
+
+// StateNotStarted is the state of a task whose start was proved not to have happened.
+const StateNotStarted worker.State = "not-started"
+
+// EndedBatch carries ended tasks of one team.
+type EndedBatch struct {
+	Team  string   `json:"team"`
+	Shard shard.ID `json:"shard"`
+	Tasks []Ended  `json:"tasks"`
+}
+
+// EndedReply lists the tasks that the queue has recorded.
+type EndedReply struct {
+	Recorded []string `json:"recorded,omitempty"`
+}
+
+// Summary is what other processes learn of a rack from heartbeats.
+type Summary struct {
+	Shard    shard.ID        `json:"shard"`
+	Ready    bool            `json:"ready"`
+	Place    string          `json:"place"`
+	Capacity resource.Vector `json:"capacity"`
+	// Free lists what is free on each worker that takes work.
+	Free []resource.Vector `json:"free,omitempty"`
+}
--- /dev/null
+++ b/internal/resource/vector.go
@@ -0,0 +1,83 @@
+// Package resource holds the amounts that tasks ask for and workers offer.
+//
+// # Usage
+//
+//	free := capacity.Sub(used)
+//	if free.Fits(want) {
+//		used = used.Add(want)
+//	}
+package resource
+
+import "fmt"
+
+// Vector is an amount of each resource a worker offers. Cores are counted in
+// thousandths, memory in MiB and accelerators in whole devices.
+type Vector struct {
+	MilliCores   int64 `json:"milli-cores,omitempty"`
+	MemoryMB     int64 `json:"memory-mb,omitempty"`
+	Accelerators int64 `json:"accelerators,omitempty"`
+}
+
+// Add returns v + w.
+func (v Vector) Add(w Vector) Vector {
+	return Vector{v.MilliCores + w.MilliCores, v.MemoryMB + w.MemoryMB, v.Accelerators + w.Accelerators}
+}
+
+// Sub returns v - w.
+func (v Vector) Sub(w Vector) Vector {
+	return Vector{v.MilliCores - w.MilliCores, v.MemoryMB - w.MemoryMB, v.Accelerators - w.Accelerators}
+}
+
+// Scale returns v taken n times.
+func (v Vector) Scale(n int64) Vector {
+	return Vector{v.MilliCores * n, v.MemoryMB * n, v.Accelerators * n}
+}
+
+// Fits reports whether want is at most v in every dimension.
+func (v Vector) Fits(want Vector) bool {
+	return want.MilliCores <= v.MilliCores && want.MemoryMB <= v.MemoryMB && want.Accelerators <= v.Accelerators
+}
+
+// Max returns the larger of v and w in each dimension.
+func (v Vector) Max(w Vector) Vector {
+	return Vector{max(v.MilliCores, w.MilliCores), max(v.MemoryMB, w.MemoryMB), max(v.Accelerators, w.Accelerators)}
+}
+
+// IsZero reports whether every dimension is zero.
+func (v Vector) IsZero() bool { return v == Vector{} }
+
+// Dominant returns the largest fraction of total that v takes in any
+// dimension. Dimensions absent from total are ignored.
+func (v Vector) Dominant(total Vector) (fraction float64) {
+	for _, pair := range [][2]int64{
+		{v.MilliCores, total.MilliCores},
+		{v.MemoryMB, total.MemoryMB},
+		{v.Accelerators, total.Accelerators},
+	} {
+		if pair[1] > 0 {
+			fraction = max(fraction, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return fraction
+}
+
+// Count returns how many times want fits into v; it is large for a zero want.
+func (v Vector) Count(want Vector) (n int64) {
+	const unbounded = 1 << 30
+	n = unbounded
+	for _, pair := range [][2]int64{
+		{v.MilliCores, want.MilliCores},
+		{v.MemoryMB, want.MemoryMB},
+		{v.Accelerators, want.Accelerators},
+	} {
+		if pair[1] > 0 {
+			n = min(n, max(pair[0], 0)/pair[1])
+		}
+	}
+	return n
+}
+
+// String formats v for people.
+func (v Vector) String() string {
+	return fmt.Sprintf("%.3g cores, %d MB, %d accelerators", float64(v.MilliCores)/1000, v.MemoryMB, v.Accelerators)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,185 @@
+// Package settings reads the settings file of an entry process.
+//
+// # Usage
+//
+//	set, err := settings.Load("entry.ini")
+//	if err != nil {
+//		// one line that names file, section, key, value and what is allowed
+//	}
+//	fmt.Print(set)
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/inifile"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("settings")
+
+// Settings is everything an entry process learns from its file.
+type Settings struct {
+	Entry    Entry
+	Store    Store
+	HostList HostList
+	Operator Operator
+	Timing   Timing
+	Limits   Limits
+	Log      Log
+}
+
+// Entry is the section [entry]: who this process is.
+type Entry struct {
+	Name        string   // name of the entry host, unique in the cell
+	Place       string   // data centre of the host
+	HTTPAddress string   // where callers and operators connect
+	PeerAddress string   // where other entry processes connect
+	Peers       []string // peer addresses to ask while the store is down
+}
+
+// Store is the section [store]: the platform's key-value service.
+type Store struct {
+	Address string
+	Timeout time.Duration // bound of one call
+}
+
+// HostList is the section [host-list]: the platform's list of hosts.
+type HostList struct {
+	Address string
+	Poll    time.Duration // time between two reads of the list
+}
+
+// Operator is the section [operator].
+type Operator struct {
+	KeyHash string // SHA-256 of the operator key in hexadecimal
+}
+
+// Timing is the section [timing].
+type Timing struct {
+	Right     time.Duration // how long one confirmation of ownership lasts
+	Drift     time.Duration // margin for clocks that run at different rates
+	Heartbeat time.Duration // time between two heartbeats to a peer
+	Suspect   time.Duration // silence after which a peer counts as failed
+	TaskLease time.Duration // lease of a running task
+	Stop      time.Duration // bound of a planned stop
+}
+
+// Limits is the section [limits].
+type Limits struct {
+	BodyBytes   int // largest request body
+	Connections int // caller connections held open at a time
+}
+
+// Log is the section [log].
+type Log struct {
+	Level  string
+	Format string
+}
+
+// Load reads the settings in the file called name and fills in defaults.
+func Load(name string) (set Settings, err error) {
+	defer Error.WrapP(&err)
+	file, err := inifile.Load(name)
+	if err != nil {
+		return Settings{}, err
+	}
+	return decode(file)
+}
+
+// Parse reads settings from data; name appears in errors.
+func Parse(name string, data []byte) (set Settings, err error) {
+	defer Error.WrapP(&err)
+	file, err := inifile.Parse(name, data)
+	if err != nil {
+		return Settings{}, err
+	}
+	return decode(file)
+}
+
+// DefaultTiming returns the defaults of the section [timing].
+func DefaultTiming() Timing {
+	return Timing{
+		Right:     4 * time.Second,
+		Drift:     200 * time.Millisecond,
+		Heartbeat: 250 * time.Millisecond,
+		Suspect:   1500 * time.Millisecond,
+		TaskLease: 20 * time.Second,
+		Stop:      30 * time.Second,
+	}
+}
+
+func decode(file *inifile.File) (set Settings, err error) {
+	const kib, mib = 1 << 10, 1 << 20
+	entry := file.Section("entry")
+	set.Entry = Entry{
+		Name:        entry.Name("name", ""),
+		Place:       entry.Name("place", ""),
+		HTTPAddress: entry.Address("http-address", ""),
+		PeerAddress: entry.Address("peer-address", ""),
+		Peers:       entry.Addresses("peers"),
+	}
+	store := file.Section("store")
+	set.Store = Store{
+		Address: store.Address("address", ""),
+		Timeout: store.Duration("timeout", time.Second),
+	}
+	hosts := file.Section("host-list")
+	set.HostList = HostList{
+		Address: hosts.Address("address", ""),
+		Poll:    hosts.Duration("poll", time.Second),
+	}
+	operator := file.Section("operator")
+	set.Operator.KeyHash = operator.String("key-hash", "")
+	if len(set.Operator.KeyHash) != hashLength {
+		operator.Fail("key-hash", "64 hexadecimal digits, the SHA-256 of the operator key")
+	}
+	timing := file.Section("timing")
+	def := DefaultTiming()
+	set.Timing = Timing{
+		Right:     timing.Duration("right", def.Right),
+		Drift:     timing.Duration("drift", def.Drift),
+		Heartbeat: timing.Duration("heartbeat", def.Heartbeat),
+		Suspect:   timing.Duration("suspect", def.Suspect),
+		TaskLease: timing.Duration("task-lease", def.TaskLease),
+		Stop:      timing.Duration("stop", def.Stop),
+	}
+	if set.Timing.Suspect < 2*set.Timing.Heartbeat {
+		timing.Fail("suspect", "at least twice the heartbeat")
+	}
+	if set.Timing.TaskLease < 2*set.Timing.Right {
+		timing.Fail("task-lease", "at least twice the right")
+	}
+	limits := file.Section("limits")
+	set.Limits = Limits{
+		BodyBytes:   int(limits.Int("body-bytes", mib, kib, 64*mib)),
+		Connections: int(limits.Int("connections", 4096, 1, 1_000_000)),
+	}
+	log := file.Section("log")
+	set.Log = Log{
+		Level:  log.Choice("level", "info", "debug", "info", "warn", "error"),
+		Format: log.Choice("format", "json", "json", "text"),
+	}
+	return set, file.Check()
+}
+
+const hashLength = 64
+
+// String prints the effective settings in the form of the file.
+func (s Settings) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[entry]\nname = %s\nplace = %s\nhttp-address = %s\npeer-address = %s\npeers = %s\n\n",
+		s.Entry.Name, s.Entry.Place, s.Entry.HTTPAddress, s.Entry.PeerAddress, strings.Join(s.Entry.Peers, ", "))
+	fmt.Fprintf(&b, "[store]\naddress = %s\ntimeout = %s\n\n", s.Store.Address, s.Store.Timeout)
+	fmt.Fprintf(&b, "[host-list]\naddress = %s\npoll = %s\n\n", s.HostList.Address, s.HostList.Poll)
+	fmt.Fprintf(&b, "[operator]\nkey-hash = (redacted)\n\n")
+	fmt.Fprintf(&b, "[timing]\nright = %s\ndrift = %s\nheartbeat = %s\nsuspect = %s\ntask-lease = %s\nstop = %s\n\n",
+		s.Timing.Right, s.Timing.Drift, s.Timing.Heartbeat, s.Timing.Suspect, s.Timing.TaskLease, s.Timing.Stop)
+	fmt.Fprintf(&b, "[limits]\nbody-bytes = %d\nconnections = %d\n\n", s.Limits.BodyBytes, s.Limits.Connections)
+	fmt.Fprintf(&b, "[log]\nlevel = %s\nformat = %s\n", s.Log.Level, s.Log.Format)
+	return b.String()
+}
--- /dev/null
+++ b/internal/shard/plan.go
@@ -0,0 +1,169 @@
+package shard
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// storeFresh is how recent the last answer of the store must be for a claim: a
+// claim that cannot complete would only keep the owner from prolonging.
+const storeFresh = 2 * time.Second
+
+// View is what a process knows of the cell besides the tables.
+type View struct {
+	// Shards are all shards of the cell.
+	Shards []ID
+	// Members are the live processes that take shards, this one included
+	// unless it leaves.
+	Members []Member
+}
+
+// Plan returns the table writes to attempt now, at most one a table. A write
+// that was returned before and is not resolved is returned again.
+func (b *Book) Plan(view View, now time.Time) (writes []*Write) {
+	preferred := Assign(view.Shards, view.Members, b.owners(view.Shards))
+	edits := map[string]*Write{}
+	wanted := make(map[ID]bool, len(view.Shards))
+	for _, id := range view.Shards {
+		wanted[id] = true
+		b.planShard(id, preferred[id], edits, now)
+	}
+	for id := range b.holdings {
+		if !wanted[id] && len(view.Shards) > 0 {
+			b.release(id, "", edits, now)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(b.tables)) {
+		state := b.tables[key]
+		if state.write == nil {
+			state.write = edits[key]
+		}
+		if state.write != nil {
+			writes = append(writes, state.write)
+		}
+	}
+	return writes
+}
+
+func (b *Book) owners(shards []ID) map[ID]Instance {
+	owners := make(map[ID]Instance, len(shards))
+	for _, id := range shards {
+		owners[id], _ = b.Owner(id)
+	}
+	return owners
+}
+
+func (b *Book) planShard(id ID, preferred Instance, edits map[string]*Write, now time.Time) {
+	owner, _ := b.Owner(id)
+	switch {
+	case owner == b.self && (preferred != b.self || b.leaving):
+		if preferred == b.self {
+			preferred = ""
+		}
+		b.release(id, preferred, edits, now)
+	case owner == b.self:
+		b.keep(id)
+		b.settle(id, edits, now)
+	case preferred == b.self && !b.leaving && now.Sub(b.confirmedAt) < storeFresh:
+		b.claim(id, edits, now)
+	}
+}
+
+// edit returns the write under preparation for the table of id, or nil while
+// another one is under way.
+func (b *Book) edit(id ID, edits map[string]*Write) *Write {
+	key := id.TableKey()
+	state := b.state(key)
+	if state.write != nil {
+		return nil
+	}
+	if edits[key] == nil {
+		edits[key] = &Write{Key: key, Revision: state.revision, Table: state.table.Clone()}
+	}
+	return edits[key]
+}
+
+// claim takes a shard from an owner that is silent or gone, if every process
+// that might still start work there has let this one in or is proved gone.
+func (b *Book) claim(id ID, edits map[string]*Write, now time.Time) {
+	row := b.state(id.TableKey()).table.Rows[id]
+	var former []Instance
+	if row.Owner != "" {
+		former = append(slices.Clone(row.Pending), row.Owner)
+	}
+	if b.Faults.IgnorePending && row.Owner != "" {
+		former = []Instance{row.Owner}
+	}
+	former = slices.DeleteFunc(former, func(i Instance) bool { return i == b.self })
+	for _, instance := range former {
+		if !b.mayClaimFrom(instance, now) {
+			return
+		}
+	}
+	write := b.edit(id, edits)
+	if write == nil {
+		return
+	}
+	slices.Sort(former)
+	former = slices.Compact(former)
+	write.Table.Rows[id] = Row{Owner: b.self, Epoch: row.Epoch + 1, Pending: former}
+	write.claims = append(write.claims, former...)
+}
+
+func (b *Book) mayClaimFrom(instance Instance, now time.Time) bool {
+	state, ok := b.peers[instance]
+	if ok && state.gone {
+		return true
+	}
+	if b.Live(instance, now) {
+		return false
+	}
+	return ok && state.grantedUs || b.Faults.IgnoreGrants
+}
+
+// release gives a shard to its successor once it is drained. From the first
+// call on, the shard starts nothing any more.
+func (b *Book) release(id ID, successor Instance, edits map[string]*Write, now time.Time) {
+	held, ok := b.holdings[id]
+	if !ok {
+		return
+	}
+	held.releasing = true
+	if !held.drained {
+		return
+	}
+	write := b.edit(id, edits)
+	if write == nil {
+		return
+	}
+	row := Row{Owner: successor, Epoch: held.epoch + 1}
+	if now.Before(held.waitUntil) {
+		row.Pending = write.Table.Rows[id].Pending
+	}
+	write.Table.Rows[id] = row
+}
+
+// keep takes back a release that was not written yet.
+func (b *Book) keep(id ID) {
+	held, ok := b.holdings[id]
+	if ok && held.releasing && b.state(id.TableKey()).write == nil {
+		held.releasing, held.drained = false, false
+	}
+}
+
+// settle strikes the earlier owners from a row after the takeover wait: they
+// have stopped by then.
+func (b *Book) settle(id ID, edits map[string]*Write, now time.Time) {
+	held, ok := b.holdings[id]
+	if !ok || !held.pending || held.releasing || now.Before(held.waitUntil) {
+		return
+	}
+	write := b.edit(id, edits)
+	if write == nil {
+		return
+	}
+	row := write.Table.Rows[id]
+	row.Pending = nil
+	write.Table.Rows[id] = row
+}
--- /dev/null
+++ b/internal/standin/cell.go
@@ -0,0 +1,254 @@
+// Package standin holds small stand-ins for the platform: store, host list,
+// workers and minions. They enforce what real ones would, and count whatever
+// goes beyond.
+//
+// # Usage
+//
+//	cell, err := standin.LoadCell("cell.ini")
+//	running, err := cell.Start(ctx)
+//	defer running.Stop()
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/hostlist"
+	"turmericspread.org/turmericspread/internal/httpserve"
+	"turmericspread.org/turmericspread/internal/inifile"
+	"turmericspread.org/turmericspread/internal/resource"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("stand-in")
+
+// EntryHost is an entry host of a cell.
+type EntryHost struct {
+	Name        string
+	Place       string
+	HTTPAddress string
+	PeerAddress string
+}
+
+// Cell describes a cell of stand-ins.
+type Cell struct {
+	StoreAddress    string
+	HostListAddress string
+	WorkersAddress  string
+	MinionsAddress  string // of the first minion; the next ones have the next ports
+	Lag             time.Duration
+	Weak            bool
+	Entries         []EntryHost
+	Hosts           []hostlist.Host
+}
+
+// LoadCell reads a cell from an INI file.
+func LoadCell(name string) (cell *Cell, err error) {
+	defer Error.WrapP(&err)
+	file, err := inifile.Load(name)
+	if err != nil {
+		return nil, err
+	}
+	return decodeCell(file)
+}
+
+// ParseCell reads a cell from data; name appears in errors.
+func ParseCell(name string, data []byte) (cell *Cell, err error) {
+	defer Error.WrapP(&err)
+	file, err := inifile.Parse(name, data)
+	if err != nil {
+		return nil, err
+	}
+	return decodeCell(file)
+}
+
+func decodeCell(file *inifile.File) (cell *Cell, err error) {
+	const defaultLag = time.Second
+	platform := file.Section("platform")
+	cell = &Cell{
+		StoreAddress:    platform.Address("store", ""),
+		HostListAddress: platform.Address("host-list", ""),
+		WorkersAddress:  platform.Address("workers", ""),
+		MinionsAddress:  platform.Address("minions", ""),
+		Lag:             platform.Duration("lag", defaultLag),
+		Weak:            platform.Bool("weak-workers", false),
+	}
+	for _, name := range file.Names("entry") {
+		sec := file.Section("entry " + name)
+		cell.Entries = append(cell.Entries, EntryHost{
+			Name: name, Place: sec.Name("place", ""),
+			HTTPAddress: sec.Address("http-address", ""), PeerAddress: sec.Address("peer-address", ""),
+		})
+	}
+	for _, name := range file.Names("rack") {
+		cell.decodeRack(name, file.Section("rack "+name))
+	}
+	for _, name := range file.Names("minions") {
+		if err := cell.decodeMinions(name, file.Section("minions "+name)); err != nil {
+			return nil, err
+		}
+	}
+	cell.Place()
+	return cell, file.Check()
+}
+
+func (c *Cell) decodeRack(name string, sec *inifile.Section) {
+	const maxWorkers, mbPerGB = 1000, 1024
+	n := sec.Int("workers", 1, 1, maxWorkers)
+	capacity := resource.Vector{
+		MilliCores:   sec.Int("cores", 1, 1, 1<<20) * 1000,
+		MemoryMB:     sec.Int("memory-gb", 1, 1, 1<<20) * mbPerGB,
+		Accelerators: sec.Int("accelerators", 0, 0, 1<<10),
+	}
+	place := sec.Name("place", "")
+	for i := range n {
+		c.Hosts = append(c.Hosts, hostlist.Host{
+			Name: fmt.Sprintf("%s-w%d", name, i+1), Kind: hostlist.KindWorker, Address: c.WorkersAddress,
+			Place: place, Rack: name, State: "live", Capacity: capacity,
+		})
+	}
+}
+
+func (c *Cell) decodeMinions(name string, sec *inifile.Section) (err error) {
+	const maxMinions = 1000
+	n := sec.Int("count", 1, 1, maxMinions)
+	service := sec.Name("service", "")
+	place := sec.Name("place", "")
+	slots := int(sec.Int("slots", 8, 1, 1<<10))
+	connections := int(sec.Int("connections", 64, 1, 1<<16))
+	for i := range n {
+		c.Hosts = append(c.Hosts, hostlist.Host{
+			Name: fmt.Sprintf("%s-m%d", name, i+1), Kind: hostlist.KindMinion,
+			Place: place, State: "live", Service: service, Slots: slots, Connections: connections,
+		})
+	}
+	return nil
+}
+
+// Place gives workers and minions the addresses of the stand-ins.
+func (c *Cell) Place() {
+	var entries []hostlist.Host
+	next, _ := netip.ParseAddrPort(c.MinionsAddress)
+	listed := map[string]bool{}
+	for i := range c.Hosts {
+		host := &c.Hosts[i]
+		listed[host.Name] = true
+		switch host.Kind {
+		case hostlist.KindWorker:
+			host.Address = c.WorkersAddress
+		case hostlist.KindMinion:
+			host.Address = next.String()
+			next = netip.AddrPortFrom(next.Addr(), next.Port()+1)
+		}
+	}
+	for _, entry := range c.Entries {
+		if !listed[entry.Name] {
+			entries = append(entries, hostlist.Host{
+				Name: entry.Name, Kind: hostlist.KindEntry, Address: entry.PeerAddress, Place: entry.Place, State: "live",
+			})
+		}
+	}
+	c.Hosts = append(c.Hosts, entries...)
+}
+
+// Running is a started cell of stand-ins.
+type Running struct {
+	Store    *Store
+	HostList *HostList
+	Workers  *Workers
+	Minions  []*Minion
+
+	servers []*server.Hertz
+	cancel  context.CancelFunc
+}
+
+// Start starts all stand-ins in this process.
+func (c *Cell) Start(ctx context.Context) (r *Running, err error) {
+	defer Error.WrapP(&err)
+	r = &Running{}
+	ctx, r.cancel = context.WithCancel(ctx)
+	if err := c.StartStore(r); err != nil {
+		return nil, err
+	}
+	if err := c.StartHostList(r); err != nil {
+		return nil, err
+	}
+	if err := c.StartWorkers(ctx, r); err != nil {
+		return nil, err
+	}
+	return r, c.StartMinions(r)
+}
+
+// StartStore starts the store stand-in.
+func (c *Cell) StartStore(r *Running) (err error) {
+	r.Store = NewStore()
+	return r.serve(c.StoreAddress, nil, r.Store.Routes)
+}
+
+// StartHostList starts the host list stand-in.
+func (c *Cell) StartHostList(r *Running) (err error) {
+	r.HostList = NewHostList(c.Hosts, c.Lag)
+	return r.serve(c.HostListAddress, nil, r.HostList.Routes)
+}
+
+// StartWorkers starts the stand-ins of all workers.
+func (c *Cell) StartWorkers(ctx context.Context, r *Running) (err error) {
+	r.Workers = NewWorkers()
+	r.Workers.Weak = c.Weak
+	for _, host := range c.Hosts {
+		if host.Kind == hostlist.KindWorker {
+			r.Workers.Add(host.Name, host.Capacity)
+		}
+	}
+	go r.Workers.Run(ctx)
+	return r.serve(c.WorkersAddress, nil, r.Workers.Routes)
+}
+
+// StartMinions starts the stand-ins of all minions.
+func (c *Cell) StartMinions(r *Running) (err error) {
+	for _, host := range c.Hosts {
+		if host.Kind != hostlist.KindMinion {
+			continue
+		}
+		m := NewMinion(host.Name, host.Slots, host.Connections)
+		r.Minions = append(r.Minions, m)
+		if err := r.serve(host.Address, m.Listener, m.Routes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const maxBody = 65 << 20
+
+func (r *Running) serve(address string, wrap func(net.Listener) net.Listener, routes func(*server.Hertz)) (err error) {
+	defer Error.WrapP(&err)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if wrap != nil {
+		listener = wrap(listener)
+	}
+	srv := httpserve.New(listener, httpserve.Options{MaxBody: maxBody})
+	routes(srv)
+	r.servers = append(r.servers, srv)
+	go func() { _ = srv.Run() }()
+	return nil
+}
+
+// Stop stops all stand-ins.
+func (r *Running) Stop() {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	for _, srv := range r.servers {
+		_ = httpserve.Stop(srv, 100*time.Millisecond)
+	}
+}
