--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -238,6 +238,11 @@
 	}
 }
 
+func (p *process) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	assert.NilError(t, p.cmd.Process.Signal(s))
+}
+
 // residentMB returns the resident memory of the process in MB.
 func (p *process) residentMB(t *testing.T) float64 {
 	t.Helper()
@@ -364,6 +369,17 @@
 	return out
 }
 
+// post sends body to a stand-in.
+func post(t *testing.T, address, path string, body any) {
+	t.Helper()
+	data, err := json.Marshal(body)
+	assert.NilError(t, err)
+	resp, err := http.Post("http://"+address+path, "application/json", bytes.NewReader(data))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, 200)
+	_ = resp.Body.Close()
+}
+
 // checkPlatform fails if the stand-ins counted a broken promise.
 func (c *cluster) checkPlatform() {
 	c.t.Helper()
--- /dev/null
+++ b/internal/e2e/failure_test.go
@@ -0,0 +1,281 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericspread.org/turmericspread/internal/standin"
+	"turmericspread.org/turmericspread/pkg/client"
+)
+
+// load keeps requests and jobs coming over some entry hosts and counts what
+// their callers were told.
+type load struct {
+	c       *cluster
+	hosts   []int
+	stop    chan struct{}
+	group   sync.WaitGroup
+	done    atomic.Int64
+	notRun  atomic.Int64
+	unknown atomic.Int64
+	failed  atomic.Int64
+	mu      sync.Mutex
+	jobs    []string
+}
+
+func (c *cluster) startLoad(hosts ...int) *load {
+	l := &load{c: c, hosts: hosts, stop: make(chan struct{})}
+	for _, host := range hosts {
+		l.group.Go(func() { l.requests(host) })
+		l.group.Go(func() { l.submissions(host) })
+	}
+	return l
+}
+
+func (l *load) running() bool {
+	select {
+	case <-l.stop:
+		return false
+	default:
+		return true
+	}
+}
+
+func (l *load) requests(host int) {
+	for i := 0; l.running(); i++ {
+		body := fmt.Sprintf(`{"sleep-ms":5,"output":"%d-%d"}`, host, i)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		answer, err := l.c.callers[host].Request(ctx, "bid", []byte(body))
+		cancel()
+		switch {
+		case err == nil && strings.Contains(string(answer.Body), body):
+			l.done.Add(1)
+		case err == nil:
+			l.failed.Add(1)
+		default:
+			l.count(err)
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+func (l *load) count(err error) {
+	refused, ok := err.(*client.Error)
+	switch {
+	case ok && refused.Outcome == client.OutcomeNotRun:
+		l.notRun.Add(1)
+	default:
+		l.unknown.Add(1)
+	}
+}
+
+func (l *load) submissions(host int) {
+	for i := 0; l.running(); i++ {
+		route := "report"
+		if i%3 == 0 {
+			route = "settle"
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+		job, err := l.c.callers[host].Submit(ctx, small(route, 3, `{"sleep-ms":300,"output":"ok"}`))
+		cancel()
+		if err == nil {
+			l.mu.Lock()
+			l.jobs = append(l.jobs, job.ID)
+			l.mu.Unlock()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// finish ends the load and checks that every accepted job came to an end and
+// none is lost. Tasks of non-idempotent jobs may end as unknown.
+func (l *load) finish(host int) {
+	t := l.c.t
+	t.Helper()
+	close(l.stop)
+	l.group.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
+	defer cancel()
+	states := map[string]int{}
+	for _, id := range l.jobs {
+		job, err := l.c.callers[host].Wait(ctx, id)
+		assert.NilError(t, err, "job %s", id)
+		states[job.Route+" "+job.State]++
+		if job.Route == "report" {
+			assert.Equal(t, job.State, "done", "job %s: %v", id, job.Counts)
+		}
+	}
+	t.Logf("requests: %d done, %d not run, %d unknown; jobs: %v", l.done.Load(), l.notRun.Load(), l.unknown.Load(), states)
+	assert.Equal(t, l.failed.Load(), int64(0), "answers to other requests")
+}
+
+// indexOf returns the host that owns a shard.
+func (c *cluster) indexOf(shardName string) int {
+	c.t.Helper()
+	owner := ""
+	c.eventually(10*time.Second, func() error {
+		for i := range c.entries {
+			status, err := c.status(i)
+			if err != nil {
+				continue
+			}
+			for _, sh := range status.Shards {
+				if string(sh.Shard) == shardName {
+					owner = string(sh.Owner)
+				}
+			}
+			return nil
+		}
+		return fmt.Errorf("no host answers")
+	})
+	name, _, _ := strings.Cut(owner, ".")
+	for i, host := range c.cell.Entries {
+		if host.Name == name {
+			return i
+		}
+	}
+	c.t.Fatalf("shard %s has owner %q", shardName, owner)
+	return 0
+}
+
+// others lists all hosts but the given ones.
+func (c *cluster) others(not ...int) (list []int) {
+	for i := range c.entries {
+		skip := false
+		for _, n := range not {
+			skip = skip || i == n
+		}
+		if !skip {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// TestKilledOwner kills the owners of a team's queue and of a rack at once.
+func TestKilledOwner(t *testing.T) {
+	c := newCluster(t, 6)
+	queue := c.indexOf("team/settlement")
+	rack := c.indexOf("rack/klaten/klaten-r1")
+	if rack == queue {
+		rack = c.indexOf("rack/boyolali/boyolali-r1")
+	}
+	survivors := c.others(queue, rack)
+	l := c.startLoad(survivors...)
+	time.Sleep(2 * time.Second)
+	c.entries[queue].signal(t, syscall.SIGKILL)
+	c.entries[rack].signal(t, syscall.SIGKILL)
+	killed := time.Now()
+	c.eventually(15*time.Second, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := c.callers[survivors[0]].Submit(ctx, small("report", 1, `{"sleep-ms":10}`))
+		return err
+	})
+	took := time.Since(killed)
+	t.Logf("a killed owner's queue accepted again after %.1f s", took.Seconds())
+	assert.Assert(t, took < 10*time.Second)
+	c.eventually(10*time.Second, func() error {
+		status, err := c.status(survivors[0])
+		if err != nil {
+			return err
+		}
+		return allOwned(status)
+	})
+	t.Logf("all shards owned again after %.1f s", time.Since(killed).Seconds())
+	time.Sleep(2 * time.Second)
+	l.finish(survivors[1])
+	c.checkPlatform()
+	c.checkInvariants(survivors...)
+}
+
+// TestStoreOutage takes the store away for longer than any right lasts.
+func TestStoreOutage(t *testing.T) {
+	c := newCluster(t, 6)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	service, err := c.callers[0].Submit(ctx, small("watch", 6, `{"forever":true}`))
+	assert.NilError(t, err)
+	spec := small("report", 900, `{"sleep-ms":1500}`)
+	spec.Want.MilliCores = 8000
+	batch, err := c.callers[0].Submit(ctx, spec)
+	assert.NilError(t, err)
+	l := c.startLoad(c.others()...)
+	time.Sleep(time.Second)
+	post(t, c.cell.StoreAddress, "/v1/fault", standin.StoreFault{Down: true})
+	const outage = 30 * time.Second
+	startsBefore := stats[standin.WorkerStats](t, c.cell.WorkersAddress).Starts
+	doneBefore := l.done.Load()
+	time.Sleep(15 * time.Second)
+	doneMiddle := l.done.Load()
+	time.Sleep(outage - 15*time.Second)
+	assert.Assert(t, l.done.Load()-doneMiddle > 100, "requests go on late in the outage")
+	_, err = c.callers[1].Submit(ctx, small("report", 1, `{}`))
+	assert.ErrorContains(t, err, "not-run")
+	workers := stats[standin.WorkerStats](t, c.cell.WorkersAddress)
+	t.Logf("during %s without the store: %d requests done, %d tasks started", outage, l.done.Load()-doneBefore, workers.Starts-startsBefore)
+	assert.Assert(t, workers.Starts-startsBefore > 300, "tasks start during the outage")
+	assert.Equal(t, workers.Lapsed, int64(0), "leases that lapsed during the outage")
+	post(t, c.cell.StoreAddress, "/v1/fault", standin.StoreFault{})
+	time.Sleep(3 * time.Second)
+	l.finish(0)
+	job, err := c.callers[2].Wait(ctx, batch.ID)
+	assert.NilError(t, err)
+	assert.Equal(t, job.State, "done")
+	job, err = c.callers[3].Get(ctx, service.ID)
+	assert.NilError(t, err)
+	assert.Equal(t, job.Counts["running"], 6)
+	c.checkPlatform()
+	c.checkInvariants(c.others()...)
+}
+
+// TestPausedOwner freezes owners for longer than their right lasts and wakes
+// them while their successors work.
+func TestPausedOwner(t *testing.T) {
+	c := newCluster(t, 6)
+	victim := c.indexOf("team/settlement")
+	other := c.others(victim)
+	l := c.startLoad(other...)
+	time.Sleep(2 * time.Second)
+	c.entries[victim].signal(t, syscall.SIGSTOP)
+	time.Sleep(9 * time.Second)
+	c.entries[victim].signal(t, syscall.SIGCONT)
+	time.Sleep(4 * time.Second)
+	c.entries[other[0]].signal(t, syscall.SIGSTOP)
+	time.Sleep(2 * time.Second)
+	c.entries[other[0]].signal(t, syscall.SIGCONT)
+	time.Sleep(3 * time.Second)
+	l.finish(other[1])
+	c.checkPlatform()
+	c.checkInvariants(c.others()...)
+}
+
+// TestRollingReplacement replaces all entry hosts one after the other under load.
+func TestRollingReplacement(t *testing.T) {
+	c := newCluster(t, 6)
+	l := c.startLoad(0)
+	l2 := c.startLoad(5)
+	for i := 1; i < 5; i++ {
+		begin := time.Now()
+		c.entries[i].signal(t, syscall.SIGTERM)
+		<-c.entries[i].done
+		t.Logf("%s stopped in %.2f s", c.entries[i].name, time.Since(begin).Seconds())
+		assert.Assert(t, time.Since(begin) < 5*time.Second)
+		c.startEntry(i)
+		c.awaitOwned(i, 1)
+		time.Sleep(500 * time.Millisecond)
+	}
+	l.finish(1)
+	l2.finish(2)
+	assert.Equal(t, l.unknown.Load()+l2.unknown.Load(), int64(0), "requests cut by planned stops")
+	c.checkPlatform()
+	c.checkInvariants(c.others()...)
+}
