--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -52,7 +52,7 @@
 				writeDump(ctx, e)
 			case stopping:
 				event.StopForced.Log(log).Send()
-				os.Exit(exitFailed)
+				e.Abort()
 			default:
 				stopping = true
 				cancel()
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -20,6 +20,9 @@
 
 // Loop executes functions one at a time in the order they were posted.
 type Loop struct {
+	// Gate is called before each function; tests set it to pause the process.
+	Gate func()
+
 	mu    sync.Mutex
 	queue []func()
 	wake  chan struct{}
@@ -63,6 +66,12 @@
 		l.queue = nil
 		l.mu.Unlock()
 		for _, fn := range batch {
+			if l.Gate != nil {
+				l.Gate()
+			}
+			if ctx.Err() != nil {
+				return
+			}
 			fn()
 		}
 		if len(batch) > 0 {
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -68,9 +69,9 @@
 }
 
 func (l *load) count(err error) {
-	refused, ok := err.(*client.Error)
+	var refused *client.Error
 	switch {
-	case ok && refused.Outcome == client.OutcomeNotRun:
+	case errors.As(err, &refused) && refused.Outcome == client.OutcomeNotRun:
 		l.notRun.Add(1)
 	default:
 		l.unknown.Add(1)
@@ -136,7 +137,7 @@
 		}
 		return fmt.Errorf("no host answers")
 	})
-	name, _, _ := strings.Cut(owner, ".")
+	name, _, _ := strings.Cut(owner, "/")
 	for i, host := range c.cell.Entries {
 		if host.Name == name {
 			return i
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -114,10 +114,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	id := newID()
-	c.Response.Header.Set(HeaderRequestID, id)
 	body := append([]byte(nil), c.Request.Body()...)
-	answer := e.forward(ctx, pool, slot.Request{ID: id, Team: team, Route: route, Body: body})
+	answer := e.Request(ctx, team, route, pool, body)
+	c.Response.Header.Set(HeaderRequestID, answer.ID)
 	c.Response.Header.Set(HeaderOutcome, string(answer.Outcome))
 	switch answer.Outcome {
 	case slot.OutcomeDone:
@@ -157,9 +156,7 @@
 		return
 	}
 	id := team + "." + name
-	ctx, cancel := context.WithTimeout(ctx, teamTimeout)
-	defer cancel()
-	reply, err := callTeam(ctx, e, team, callSubmit, &job.SubmitRequest{Team: team, ID: id, Spec: spec}, e.handleSubmit)
+	reply, err := e.Submit(ctx, team, id, spec)
 	e.answerJob(c, team, id, reply, err, 202)
 }
 
@@ -179,9 +176,7 @@
 		return
 	}
 	ref.WaitMS = wait.Milliseconds()
-	ctx, cancel := context.WithTimeout(ctx, wait+teamTimeout)
-	defer cancel()
-	reply, err := callTeam(ctx, e, team, callGet, &ref, e.handleGet)
+	reply, err := e.Get(ctx, ref)
 	e.answerJob(c, team, ref.ID, reply, err, 200)
 }
 
@@ -190,9 +185,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, teamTimeout)
-	defer cancel()
-	reply, err := callTeam(ctx, e, team, callCancel, &ref, e.handleCancel)
+	reply, err := e.Cancel(ctx, ref)
 	e.answerJob(c, team, ref.ID, reply, err, 200)
 }
 
@@ -271,7 +264,7 @@
 		Version int64  `json:"version"`
 	}
 	granted.Team = body.Team
-	version, err := e.edit(ctx, func(tables *config.Tables) (err error) {
+	version, err := e.Edit(ctx, func(tables *config.Tables) (err error) {
 		granted.ID, granted.Key, err = tables.Grant(body.Team)
 		return err
 	})
@@ -291,7 +284,7 @@
 }
 
 func (e *Entry) answerEdit(ctx context.Context, c *app.RequestContext, change func(tables *config.Tables) error) {
-	version, err := e.edit(ctx, change)
+	version, err := e.Edit(ctx, change)
 	answerEdited(c, struct {
 		Version int64 `json:"version"`
 	}{version}, err)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -19,6 +19,11 @@
 	rackTimeout = 6 * time.Second
 	// teamTimeout bounds how long a caller's submission waits for its owner.
 	teamTimeout = 10 * time.Second
+	// attemptTimeout bounds one try of such a call, so that a connection that
+	// has gone silent is replaced by a new one.
+	attemptTimeout = 3 * time.Second
+	// waitRound bounds how long the owner holds one look-up of a job.
+	waitRound = 2 * time.Second
 	// ownerRetry is the time between two tries to find the owner of a shard.
 	ownerRetry = 50 * time.Millisecond
 )
@@ -77,7 +82,7 @@
 		return
 	}
 	r.Place(req, now, func(results rack.Results) {
-		results.Summary = r.Summary()
+		results.Epoch, results.Summary = r.Epoch, r.Summary()
 		reply(results)
 	})
 }
@@ -92,7 +97,10 @@
 		reply(rack.Results{NotOwner: true})
 		return
 	}
-	r.StartHeld(req, now, reply)
+	r.StartHeld(req, now, func(results rack.Results) {
+		results.Epoch = r.Epoch
+		reply(results)
+	})
 }
 
 func (e *Entry) handleStop(ctx context.Context, req *rack.TaskRequest) (*rack.Results, error) {
@@ -117,7 +125,7 @@
 	if !ok {
 		return rack.Report{NotOwner: true}
 	}
-	return r.Report(req)
+	return r.Report(req, time.Now())
 }
 
 func (e *Entry) handleEnded(ctx context.Context, batch *rack.EndedBatch) (*rack.EndedReply, error) {
@@ -141,6 +149,10 @@
 func (e *Entry) handleGet(ctx context.Context, ref *job.Ref) (*job.Reply, error) {
 	return await(ctx, e, func(_ time.Time, reply func(job.Reply)) {
 		e.withQueue(ref.Team, reply, func(q *job.Queue) {
+			if ref.Explain {
+				q.Explain(*ref, reply)
+				return
+			}
 			q.Get(*ref, reply)
 			if ref.WaitMS > 0 {
 				wait := time.Duration(ref.WaitMS) * time.Millisecond
@@ -275,6 +287,8 @@
 	if err := e.loop.Call(ctx, func() { owner, address = e.ownerAddress(shard.TeamID(team)) }); err != nil {
 		return nil, true, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	switch owner {
 	case "":
 		return nil, true, errNoOwner
--- a/internal/entry/edit.go
+++ b/internal/entry/edit.go
@@ -45,10 +45,10 @@
 // errOutcomeUnknown means that an edit may or may not be in force.
 var errOutcomeUnknown = errs.Class("the edit may have been accepted")
 
-// edit changes the tables: it reads them from the store, applies change, checks
+// Edit changes the tables: it reads them from the store, applies change, checks
 // the result, writes it against the revision read and reads it back. It is
 // accepted when this returns without an error.
-func (e *Entry) edit(ctx context.Context, change func(tables *config.Tables) error) (version int64, err error) {
+func (e *Entry) Edit(ctx context.Context, change func(tables *config.Tables) error) (version int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, editTimeout)
 	defer cancel()
 	for {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"encoding/hex"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 type Entry struct {
 	Settings settings.Settings
 	Log      zerolog.Logger
+	// Network connects the process to the outside.
+	Network Network
 
 	info    Info
 	loop    *control.Loop
@@ -57,6 +60,8 @@
 	started time.Time
 	group   sync.WaitGroup
 	http    *server.Hertz
+	runCtx  context.Context
+	abort   context.CancelFunc
 
 	// The rest belongs to the control goroutine.
 	book       *shard.Book
@@ -74,17 +79,33 @@
 	storeOK    bool
 	lastPlan   time.Time
 	lastBeat   time.Time
-	outbound   map[shard.ID]int // requests under way to each set
+	outbound   map[shard.ID]int             // requests under way to each set
+	seen       map[shard.Instance]time.Time // when an instance was first seen in a table
+	absent     map[shard.Instance]time.Time // since when the host list lacks an instance's host
 	fetching   bool
 	firstWatch bool
 }
 
+// Network holds the ways to the outside. New fills in the real ones; tests
+// replace them. A process without an HTTP address serves no HTTP.
+type Network struct {
+	Listen   func(address string) (net.Listener, error)
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	Store    func(req *http.Request) (*http.Response, error)
+	HostList func(req *http.Request) (*http.Response, error)
+	Worker   func(req *http.Request) (*http.Response, error)
+	// Minion, if set, replaces the connections to minions.
+	Minion func(req *http.Request) (*http.Response, error)
+	// Gate, if set, is called before each function of the control goroutine.
+	Gate func()
+}
+
 // New returns an Entry that does not run yet.
 func New(set settings.Settings, log zerolog.Logger) *Entry {
 	const instanceBytes = 6
 	suffix := make([]byte, instanceBytes)
 	_, _ = rand.Read(suffix)
-	instance := shard.Instance(set.Entry.Name + "." + hex.EncodeToString(suffix))
+	instance := shard.NewInstance(set.Entry.Name, set.Entry.PeerAddress, hex.EncodeToString(suffix))
 	log = log.With().Str("entry", set.Entry.Name).Logger()
 	e := &Entry{
 		Settings: set,
@@ -110,50 +131,84 @@
 		queues:   map[string]*job.Queue{},
 		writing:  map[*shard.Write]bool{},
 		outbound: map[shard.ID]int{},
+		absent:   map[shard.Instance]time.Time{},
+		seen:     map[shard.Instance]time.Time{},
 		storeOK:  true,
 	}
 	e.tables.Store(config.New())
+	e.runCtx, e.abort = context.WithCancel(context.Background())
+	e.Network = Network{
+		Listen:   func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		Dial:     e.peers.Dial,
+		Store:    e.store.Do,
+		HostList: e.hosts.Do,
+		Worker:   e.workers.Do,
+	}
 	return e
 }
 
+// Abort ends the process at once, as a crash would.
+func (e *Entry) Abort() { e.abort() }
+
 // Run serves until ctx ends and then stops gracefully.
 func (e *Entry) Run(ctx context.Context) (err error) {
 	defer Error.WrapP(&err)
-	peerListener, err := net.Listen("tcp", e.Settings.Entry.PeerAddress)
+	defer e.abort()
+	e.peers.Dial = e.Network.Dial
+	e.store.Do, e.hosts.Do, e.workers.Do = e.Network.Store, e.Network.HostList, e.Network.Worker
+	e.loop.Gate = e.Network.Gate
+	peerListener, err := e.Network.Listen(e.info.PeerAddress)
 	if err != nil {
 		return err
 	}
-	httpListener, err := net.Listen("tcp", e.Settings.Entry.HTTPAddress)
+	httpDone, err := e.serveHTTP()
 	if err != nil {
 		_ = peerListener.Close()
 		return err
 	}
-	runCtx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	e.spawn(func() { e.loop.Run(runCtx) })
-	e.spawn(func() { _ = peer.Serve(runCtx, peerListener, e.mux()) })
-	e.http = httpserve.New(httpListener, httpserve.Options{MaxBody: e.Settings.Limits.BodyBytes})
-	e.routes(e.http)
-	httpDone := make(chan error, 1)
-	e.spawn(func() { httpDone <- e.http.Run() })
-	e.spawn(func() { e.watchStore(runCtx) })
-	e.spawn(func() { e.pollHosts(runCtx) })
-	e.spawn(func() { e.tickLoop(runCtx) })
+	e.spawn(func() { e.loop.Run(e.runCtx) })
+	e.spawn(func() { _ = peer.Serve(e.runCtx, peerListener, e.mux()) })
+	e.spawn(func() { e.watchStore(e.runCtx) })
+	e.spawn(func() { e.pollHosts(e.runCtx) })
+	e.spawn(func() { e.tickLoop(e.runCtx) })
 	event.Started.Log(e.Log).Str("instance", string(e.info.Instance)).Str("place", e.info.Place).
 		Str("http", e.info.HTTPAddress).Str("peer", e.info.PeerAddress).Send()
 	select {
 	case <-ctx.Done():
 		e.stop()
+	case <-e.runCtx.Done():
 	case err = <-httpDone:
 	}
-	cancel()
-	_ = httpserve.Stop(e.http, time.Second)
+	e.abort()
+	e.stopHTTP(time.Second)
 	_ = e.peers.Close()
 	e.group.Wait()
 	event.Stopped.Log(e.Log).Send()
 	return err
 }
 
+// serveHTTP serves callers and operators; done gets the error that ends it.
+func (e *Entry) serveHTTP() (done chan error, err error) {
+	done = make(chan error, 1)
+	if e.info.HTTPAddress == "" {
+		return done, nil
+	}
+	listener, err := e.Network.Listen(e.info.HTTPAddress)
+	if err != nil {
+		return nil, err
+	}
+	e.http = httpserve.New(listener, httpserve.Options{MaxBody: e.Settings.Limits.BodyBytes})
+	e.routes(e.http)
+	e.spawn(func() { done <- e.http.Run() })
+	return done, nil
+}
+
+func (e *Entry) stopHTTP(timeout time.Duration) {
+	if e.http != nil {
+		_ = httpserve.Stop(e.http, timeout)
+	}
+}
+
 func (e *Entry) spawn(fn func()) {
 	e.group.Add(1)
 	go func() {
@@ -185,12 +240,8 @@
 		}
 		time.Sleep(period)
 	}
-	_ = httpserve.Stop(e.http, time.Until(deadlineOf(ctx)))
-}
-
-func deadlineOf(ctx context.Context) time.Time {
 	deadline, _ := ctx.Deadline()
-	return deadline
+	e.stopHTTP(time.Until(deadline))
 }
 
 func (e *Entry) inFlight() (n int) {
--- a/internal/entry/holding.go
+++ b/internal/entry/holding.go
@@ -23,6 +23,10 @@
 // syncHoldings creates and drops the state of shards as their ownership changes.
 func (e *Entry) syncHoldings(now time.Time) {
 	owned := map[shard.ID]int64{}
+	if len(e.hostRows) == 0 {
+		// What runs on a shard cannot be found out without the host list.
+		return
+	}
 	for _, id := range e.book.Held() {
 		phase, epoch := e.book.Phase(id, now)
 		switch phase {
@@ -64,10 +68,10 @@
 		e.racks[id].SetHosts(e.rows[id], now)
 	case shard.KindMinions:
 		if set, ok := e.sets[id]; ok {
-			set.Undrain()
+			set.Reopen(epoch)
 			return
 		}
-		e.sets[id] = e.newSet(id)
+		e.sets[id] = e.newSet(id, epoch)
 		e.sets[id].SetHosts(e.rows[id], now)
 	case shard.KindTeam:
 		if q, ok := e.queues[id.Team()]; ok && q.Epoch == epoch {
@@ -125,7 +129,7 @@
 		ID: id, Epoch: epoch, Log: e.Log, TaskLease: e.Settings.Timing.TaskLease, Checks: e.checks,
 		Now: time.Now, Post: e.loop.Post, Go: func(fn func()) { go fn() },
 		Connect:  func(host hostlist.Host) rack.Worker { return e.workers.At(host.Address, host.Name) },
-		MayStart: func(now time.Time) bool { return e.book.MayStart(id, now) },
+		MayStart: func(now time.Time) bool { return e.book.MayStartAt(id, epoch, now) },
 		RightEnd: e.book.RightEnd,
 		TeamEpoch: func(team string) int64 {
 			_, epoch := e.book.Owner(shard.TeamID(team))
@@ -135,12 +139,16 @@
 	}
 }
 
-func (e *Entry) newSet(id shard.ID) *slot.Set {
+func (e *Entry) newSet(id shard.ID, epoch int64) *slot.Set {
 	return &slot.Set{
-		ID: id, Log: e.Log, Checks: e.checks,
+		ID: id, Epoch: epoch, Log: e.Log, Checks: e.checks,
 		Now: time.Now, Post: e.loop.Post, Go: func(fn func()) { go fn() },
 		Connect: func(host hostlist.Host) slot.Minion {
-			return minion.New(host.Address, host.Name, host.Connections)
+			m := minion.New(host.Address, host.Name, host.Connections)
+			if e.Network.Minion != nil {
+				m.RoundTrip = e.Network.Minion
+			}
+			return m
 		},
 		MayStart: func(now time.Time) bool { return e.book.MayStart(id, now) },
 		RightEnd: e.book.RightEnd,
@@ -151,7 +159,7 @@
 	id := shard.TeamID(team)
 	return &job.Queue{
 		Team: team, Epoch: epoch, Log: e.Log, Checks: e.checks, Now: time.Now,
-		MayStart:   func(now time.Time) bool { return e.book.MayStart(id, now) },
+		MayStart:   func(now time.Time) bool { return e.book.MayStartAt(id, epoch, now) },
 		StoreFresh: func(now time.Time) bool { return now.Sub(e.book.ConfirmedAt()) < storeFresh },
 		Tables:     e.tables.Load,
 		Hosts: func() (workers []hostlist.Host) {
@@ -162,8 +170,12 @@
 			}
 			return workers
 		},
-		Racks:     e.rackSummaries,
-		AllRacks:  e.allRacks,
+		Racks:    e.rackSummaries,
+		AllRacks: e.allRacks,
+		RackEpoch: func(id shard.ID) int64 {
+			_, epoch := e.book.Owner(id)
+			return epoch
+		},
 		MayUse:    func(used, more resource.Vector) bool { return e.mayUse(team, used, more) },
 		Place:     e.placeCall,
 		StartHeld: e.startHeldCall,
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -33,25 +33,14 @@
 // memberPrefix is the prefix of the store keys that hold Info values.
 const memberPrefix = "cell/member/"
 
-// nameOf returns the host name in an instance.
-func nameOf(instance shard.Instance) string {
-	name, _, _ := strings.Cut(string(instance), ".")
-	return name
-}
-
 // addMember learns of a process, from the store, a heartbeat or another member.
 func (e *Entry) addMember(info Info) {
-	if info.Instance == e.info.Instance || info.Instance == "" || e.book.IsGone(info.Instance) {
+	if info.Instance == "" || info.PeerAddress == e.info.PeerAddress || e.book.IsGone(info.Instance) {
 		return
 	}
 	if _, ok := e.members[info.Instance]; ok {
 		return
 	}
-	if info.PeerAddress == e.info.PeerAddress {
-		// This process has the address now, so the other one has ended.
-		e.gone(info.Instance)
-		return
-	}
 	e.members[info.Instance] = &member{info: info}
 	e.book.Peer(info.Instance)
 }
@@ -79,7 +68,7 @@
 	}
 	for _, seed := range e.Settings.Entry.Peers {
 		if !addresses[seed] && seed != e.info.PeerAddress {
-			e.beatSeed(ctx, seed, base)
+			e.beatSeed(ctx, seed, base, now)
 		}
 	}
 }
@@ -141,6 +130,7 @@
 }
 
 func (e *Entry) beatAnswered(m *member, sentAt time.Time, reply *HeartbeatReply) {
+	e.proveGone(m.info.PeerAddress, reply.Instance, sentAt)
 	if reply.Instance != m.info.Instance {
 		e.gone(m.info.Instance)
 		return
@@ -150,7 +140,7 @@
 }
 
 // beatSeed introduces this process to an address from the settings.
-func (e *Entry) beatSeed(ctx context.Context, address string, beat Heartbeat) {
+func (e *Entry) beatSeed(ctx context.Context, address string, beat Heartbeat, now time.Time) {
 	go func() {
 		callCtx, cancel := context.WithTimeout(ctx, e.Settings.Timing.Suspect)
 		defer cancel()
@@ -158,7 +148,10 @@
 		if err != nil {
 			return
 		}
-		e.loop.Post(func() { e.learnVersion(reply.ConfigVersion, address) })
+		e.loop.Post(func() {
+			e.proveGone(address, reply.Instance, now)
+			e.learnVersion(reply.ConfigVersion, address)
+		})
 	}()
 }
 
@@ -169,11 +162,12 @@
 		e.addMember(beat.From)
 		if m, ok := e.members[beat.From.Instance]; ok {
 			e.takeSummaries(m, beat, now)
+			e.book.Saw(beat.From.Instance, beat.Revisions)
 		}
 		for _, info := range beat.Members {
 			e.addMember(info)
 		}
-		if beat.Grant {
+		if beat.Grant && beat.From.Instance != e.info.Instance {
 			e.book.GrantedBy(beat.From.Instance)
 		}
 		e.learnVersion(beat.ConfigVersion, beat.From.PeerAddress)
@@ -194,7 +188,32 @@
 	}
 }
 
-// checkHostList proves members gone that the list of hosts names no more.
+// proveGone looks for instances that run no more: whose address answered a
+// call as another instance, though the call was sent after the instance was seen.
+func (e *Entry) proveGone(address string, answered shard.Instance, sentAt time.Time) {
+	for _, instance := range e.book.Instances() {
+		since, ok := e.seen[instance]
+		if ok && instance.Address() == address && instance != answered && sentAt.After(since) {
+			e.gone(instance)
+		}
+	}
+}
+
+// noteInstances records when instances were first seen in the tables. This
+// process has its address, so an earlier instance there has ended.
+func (e *Entry) noteInstances(now time.Time) {
+	for _, instance := range e.book.Instances() {
+		if _, ok := e.seen[instance]; !ok {
+			e.seen[instance] = now
+		}
+		if instance.Address() == e.info.PeerAddress {
+			e.gone(instance)
+		}
+	}
+}
+
+// checkHostList proves instances gone whose hosts the list has not named for
+// longer than it lags.
 func (e *Entry) checkHostList(hosts []hostlist.Host, sentAt time.Time) {
 	listed := map[string]bool{}
 	for _, host := range hosts {
@@ -208,17 +227,18 @@
 	if len(listed) == 0 {
 		return
 	}
-	for _, id := range e.shards {
-		owner, _ := e.book.Owner(id)
-		if owner == "" || owner == e.info.Instance {
-			continue
-		}
-		if !listed[nameOf(owner)] || nameOf(owner) == e.info.Name {
-			e.gone(owner)
-		}
-	}
+	known := e.book.Instances()
 	for instance := range e.members {
-		if !listed[nameOf(instance)] {
+		known = append(known, instance)
+	}
+	for _, instance := range known {
+		since, ok := e.absent[instance]
+		switch {
+		case listed[instance.Name()]:
+			delete(e.absent, instance)
+		case !ok:
+			e.absent[instance] = sentAt
+		case sentAt.Sub(since) > e.Settings.HostList.Lag:
 			e.gone(instance)
 		}
 	}
--- a/internal/entry/platform.go
+++ b/internal/entry/platform.go
@@ -101,6 +101,7 @@
 		}
 	}
 	e.book.Confirm(sentAt)
+	e.noteInstances(now)
 	e.firstWatch = true
 }
 
@@ -254,6 +255,7 @@
 		return
 	}
 	e.writing[write] = true
+	event.TableWrite.Log(e.Log).Str("key", write.Key).Int64("revision", write.Revision).Strs("changes", write.Changes).Send()
 	go func() {
 		revision, err := e.store.Put(context.Background(), write.Key, value, write.Revision)
 		if err != nil {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -71,7 +71,7 @@
 	Invariants []invariant.Count       `json:"invariants"`
 	Racks      []rack.Dump             `json:"racks"`
 	Sets       []slot.Summary          `json:"sets"`
-	Queues     map[string][]*job.View  `json:"queues"`
+	Queues     []job.Dump              `json:"queues"`
 	Hosts      []hostlist.Host         `json:"hosts"`
 	Teams      map[string]config.Team  `json:"team-table"`
 	Pools      map[string]config.Pool  `json:"pool-table"`
@@ -105,7 +105,6 @@
 		dump = Dump{
 			Status: e.status(now), Invariants: e.checks.Counts(), Hosts: e.hostRows,
 			Teams: tables.Teams, Pools: tables.Pools, Routes: tables.Routes,
-			Queues: map[string][]*job.View{},
 		}
 		for _, id := range slices.Sorted(maps.Keys(e.racks)) {
 			dump.Racks = append(dump.Racks, e.racks[id].Dump())
@@ -113,8 +112,8 @@
 		for _, id := range slices.Sorted(maps.Keys(e.sets)) {
 			dump.Sets = append(dump.Sets, e.sets[id].Summary(now))
 		}
-		for team, q := range e.queues {
-			dump.Queues[team] = q.Views()
+		for _, team := range slices.Sorted(maps.Keys(e.queues)) {
+			dump.Queues = append(dump.Queues, e.queues[team].Dump())
 		}
 	})
 	return dump, err
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -62,13 +62,15 @@
 
 // New returns a Client.
 func New(address string) *Client {
-	httpClient := &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}, Timeout: callTimeout}
+	httpClient := &http.Client{Transport: &http.Transport{IdleConnTimeout: time.Minute}}
 	return &Client{Do: httpClient.Do, url: "http://" + address + "/v1/hosts"}
 }
 
 // List returns all hosts of the list.
 func (c *Client) List(ctx context.Context) (hosts []Host, err error) {
 	defer Error.WrapP(&err)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
 	if err != nil {
 		return nil, err
--- a/internal/job/gang.go
+++ b/internal/job/gang.go
@@ -46,14 +46,15 @@
 		if t.state != TaskPending {
 			continue
 		}
-		id, ok := q.choose(j, p)
+		id, ok := q.choose(t, p)
 		if !ok {
 			j.retryAt = now.Add(noRoomDelay)
 			j.reason = fmt.Sprintf("room for %d of the gang's %d tasks", len(chosen), j.open)
 			return
 		}
 		chosen[t] = id
-		p.take(id, j.record.Spec.Want)
+		t.shard = id
+		p.take(t)
 	}
 	j.reason = ""
 	j.gang = gangHolding
@@ -128,6 +129,7 @@
 // giveBack releases holds. A hold was never started, so its task is pending again at once.
 func (q *Queue) giveBack(j *job, batches map[shard.ID][]rack.TaskSpec) {
 	now := q.Now()
+	q.note(j, "not all holds of the gang were granted, all are given back")
 	for id, specs := range batches {
 		req := rack.TaskRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Tasks: specs}
 		q.Stop(req, func(rack.Results, error) {})
@@ -150,6 +152,7 @@
 // whole or not at all.
 func (q *Queue) breakGang(j *job, now time.Time) {
 	j.gang = gangBroken
+	q.note(j, "a member of the gang ended early, the others are stopped")
 	for _, t := range j.tasks {
 		if t.state == TaskRunning {
 			q.setState(t, TaskStopping)
--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -83,6 +83,9 @@
 	Counts  map[TaskState]int `json:"counts"`
 	Tasks   []TaskView        `json:"tasks"`
 	Reason  string            `json:"reason,omitempty"`
+	// History and Standing are filled in for an explanation only.
+	History  []Note   `json:"history,omitempty"`
+	Standing []string `json:"standing,omitempty"`
 }
 
 // RefusalCode tells why a call was refused.
@@ -117,6 +120,8 @@
 	Team   string `json:"team"`
 	ID     string `json:"id"`
 	WaitMS int64  `json:"wait-ms,omitempty"`
+	// Explain asks for the job's history.
+	Explain bool `json:"explain,omitempty"`
 }
 
 // TaskRecord is the durable part of a task.
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -53,6 +53,8 @@
 	Racks func() []rack.Summary
 	// AllRacks lists all racks of the cell.
 	AllRacks func() []shard.ID
+	// RackEpoch returns the epoch of a rack's present owner.
+	RackEpoch func(id shard.ID) int64
 	// MayUse reports whether the team's share lets it use more.
 	MayUse func(used, more resource.Vector) bool
 	// Place, StartHeld, Stop and Report call the owner of a rack.
@@ -64,25 +66,27 @@
 	Load func(done func([]Segment, error))
 	Save func(seg Segment, done func(SaveResult))
 
-	open      bool // the segments are loaded
-	loading   bool
-	draining  bool
-	jobs      map[string]*job
-	order     []*job // jobs that are not over, by age
-	segments  map[int]*segment
-	current   int
-	saving    int
-	lastSave  time.Time
-	tasks     map[string]*task // by id of the running attempt
-	attempts  int64
-	calls     int // calls that may start work
-	running   int64
-	used      resource.Vector
-	views     map[shard.ID]rack.Summary // newer than Racks, from answers
-	recovery  map[shard.ID]bool         // racks that have reported, while recovering
-	recovered bool
-	nextAsk   time.Time
-	waiters   map[string][]func(Reply)
+	open          bool // the segments are loaded
+	loading       bool
+	draining      bool
+	jobs          map[string]*job
+	order         []*job // jobs that are not over, by age
+	segments      map[int]*segment
+	current       int
+	saving        int
+	lastSave      time.Time
+	tasks         map[string]*task // by id of the running attempt
+	attempts      int64
+	calls         int // calls that may start work
+	running       int64
+	used          resource.Vector
+	views         map[shard.ID]rack.Summary // newer than Racks, from answers
+	recovery      map[shard.ID]bool         // racks that have reported, while recovering
+	recovered     bool
+	nextAsk       time.Time
+	nextReconcile time.Time
+	asked         map[shard.ID]time.Time // when a rack was last asked what runs
+	waiters       map[string][]func(Reply)
 }
 
 type job struct {
@@ -96,6 +100,7 @@
 	gang    gangState
 	reason  string
 	retryAt time.Time
+	history []Note
 }
 
 type task struct {
@@ -103,7 +108,9 @@
 	index     int
 	state     TaskState
 	id        string // of the attempt
+	lastEnded string // id of the last attempt that ended
 	shard     shard.ID
+	epoch     int64 // of the rack when it last told of the task
 	worker    string
 	output    string
 	cut       bool
@@ -114,6 +121,7 @@
 	startedAt time.Time
 	retryAt   time.Time
 	nextAsk   time.Time
+	missing   time.Time // since when the cell lacks the task's rack
 }
 
 func (q *Queue) init() {
@@ -123,6 +131,7 @@
 		q.tasks = map[string]*task{}
 		q.views = map[shard.ID]rack.Summary{}
 		q.recovery = map[shard.ID]bool{}
+		q.asked = map[shard.ID]time.Time{}
 		q.waiters = map[string][]func(Reply){}
 	}
 }
@@ -194,6 +203,7 @@
 	}
 	j := q.addJob(Record{ID: req.ID, Spec: req.Spec, Pool: pool, Policy: policy, Created: now})
 	q.assignSegment(j)
+	q.note(j, "submitted with %d tasks of %s to pool %s", len(j.tasks), req.Spec.Want, pool)
 	q.whenSaved(j.segment, func() {
 		event.JobAccepted.Log(q.Log).Str("job", j.record.ID).Int("tasks", len(j.tasks)).Send()
 		reply(Reply{Job: j.view()})
@@ -278,6 +288,7 @@
 	}
 	if !j.state().Terminal() && !j.record.Cancelled {
 		j.record.Cancelled = true
+		q.note(j, "cancelled by the team")
 		j.machine.fire(triggerCancel)
 		j.segment.touch()
 		q.cancelTasks(j)
@@ -403,6 +414,32 @@
 	return s
 }
 
+// Dump shows the state of the queue besides its jobs.
+type Dump struct {
+	Team      string          `json:"team"`
+	Epoch     int64           `json:"epoch"`
+	Open      bool            `json:"open"`
+	Recovered bool            `json:"recovered"`
+	Reported  int             `json:"racks-reported"`
+	Draining  bool            `json:"draining"`
+	Running   int64           `json:"running"`
+	Used      resource.Vector `json:"used"`
+	Calls     int             `json:"calls-under-way"`
+	Saving    int             `json:"writes-under-way"`
+	Unsaved   int             `json:"unsaved-segments"`
+	Segments  int             `json:"segments"`
+	Jobs      []*View         `json:"jobs"`
+}
+
+// Dump returns the whole state of the queue.
+func (q *Queue) Dump() Dump {
+	return Dump{
+		Team: q.Team, Epoch: q.Epoch, Open: q.open, Recovered: q.recovered, Reported: len(q.recovery),
+		Draining: q.draining, Running: q.running, Used: q.used, Calls: q.calls, Saving: q.saving,
+		Unsaved: len(q.dirty()), Segments: len(q.segments), Jobs: q.Views(),
+	}
+}
+
 // Jobs lists the ids of all jobs kept.
 func (q *Queue) Jobs() []string { return slices.Sorted(maps.Keys(q.jobs)) }
 
--- /dev/null
+++ b/internal/job/reconcile.go
@@ -0,0 +1,80 @@
+package job
+
+import (
+	"time"
+
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/shard"
+	"turmericspread.org/turmericspread/internal/worker"
+)
+
+// reconcilePeriod is the time between two comparisons with a rack whose owner
+// has not changed.
+const reconcilePeriod = 30 * time.Second
+
+// rackGone is for how long the cell must lack a rack before its tasks count as
+// ended: longer than the host list lags.
+const rackGone = 15 * time.Second
+
+// reconcile asks racks which tasks they still run, at once when a rack has
+// changed owner: the new one does not know of tasks whose worker was dropped in
+// between.
+func (q *Queue) reconcile(now time.Time) {
+	if now.Before(q.nextReconcile) {
+		return
+	}
+	q.nextReconcile = now.Add(reportRetry)
+	known := map[shard.ID]bool{}
+	for _, id := range q.AllRacks() {
+		known[id] = true
+	}
+	for _, t := range q.tasks {
+		switch {
+		case t.state != TaskRunning && t.state != TaskStopping:
+		case !known[t.shard]:
+			q.noteMissing(t, now)
+		case t.epoch != q.RackEpoch(t.shard) && now.Sub(q.asked[t.shard]) >= reportRetry,
+			now.Sub(q.asked[t.shard]) >= reconcilePeriod:
+			q.asked[t.shard] = now
+			q.reconcileRack(t.shard, now)
+		}
+	}
+}
+
+// noteMissing ends a task whose rack the cell has lacked for long.
+func (q *Queue) noteMissing(t *task, now time.Time) {
+	switch {
+	case t.missing.IsZero():
+		t.missing = now
+	case now.Sub(t.missing) > rackGone:
+		q.lapse(t, now)
+	}
+}
+
+func (q *Queue) lapse(t *task, now time.Time) {
+	q.note(t.job, "task %d: rack %s does not know attempt %s any more", t.index, t.shard, t.id)
+	q.applyEnded(t, rack.Ended{ID: t.id, Job: t.job.record.ID, Index: t.index, Worker: t.worker, State: worker.StateLapsed}, now)
+}
+
+func (q *Queue) reconcileRack(id shard.ID, sentAt time.Time) {
+	req := rack.ReportRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch}
+	q.Report(req, func(report rack.Report, err error) {
+		if err != nil || report.NotOwner || !report.Complete {
+			return
+		}
+		listed := map[string]bool{}
+		for _, row := range report.Rows {
+			listed[row.ID] = true
+		}
+		for _, t := range q.tasks {
+			if t.shard != id || t.state != TaskRunning && t.state != TaskStopping || !t.startedAt.Before(sentAt) {
+				continue
+			}
+			if listed[t.id] {
+				t.epoch = report.Epoch
+				continue
+			}
+			q.lapse(t, q.Now())
+		}
+	})
+}
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -99,7 +99,7 @@
 			return
 		}
 		for _, row := range report.Rows {
-			q.adopt(id, row)
+			q.adopt(id, report.Epoch, row)
 		}
 		if report.Complete {
 			q.recovery[id] = true
@@ -108,8 +108,9 @@
 }
 
 // adopt attaches a task that a rack reports to its job.
-func (q *Queue) adopt(id shard.ID, row rack.ReportRow) {
-	if _, known := q.tasks[row.ID]; known {
+func (q *Queue) adopt(id shard.ID, epoch int64, row rack.ReportRow) {
+	if known, ok := q.tasks[row.ID]; ok {
+		known.epoch = epoch
 		return
 	}
 	j, ok := q.jobs[row.Job]
@@ -118,19 +119,24 @@
 		return
 	}
 	t := j.tasks[row.Index]
+	if !row.Running && row.Ended == "" {
+		q.stopOrphan(id, row)
+		return
+	}
+	if t.lastEnded == row.ID || row.Ended != "" && !t.onlyAttempt(row.Ended) {
+		return
+	}
 	if t.state != TaskUncertain || t.id != "" {
-		if !row.Ended.Live() && row.Ended != "" {
-			return
-		}
-		q.Checks.Check(invariant.SingleRun, t.state.Terminal(), "task", row.ID, "other", t.id)
+		q.Checks.Check(invariant.SingleRun, !row.Running || t.state.Terminal(), "task ", row.ID, " other ", t.id)
 		q.stopOrphan(id, row)
 		return
 	}
-	t.id, t.shard, t.worker = row.ID, id, row.Worker
+	t.id, t.shard, t.worker, t.epoch = row.ID, id, row.Worker, epoch
 	q.tasks[row.ID] = t
 	t.state = TaskRunning
 	t.startedAt = q.Now()
 	j.machine.fire(triggerStart)
+	q.note(j, "task %d: attempt %s found on %s", t.index, t.id, t.worker)
 	if j.record.Cancelled {
 		q.setState(t, TaskStopping)
 		q.stop(t)
@@ -151,21 +157,23 @@
 				q.notRunning(t)
 			}
 		}
-		q.settleJob(j)
 	}
 }
 
 // notRunning takes back a task that is proved to run nowhere, though it may
 // have run before.
 func (q *Queue) notRunning(t *task) {
+	q.note(t.job, "task %d: attempt %q is proved not to run", t.index, t.id)
 	switch {
 	case t.job.record.Cancelled:
 		q.setState(t, TaskCancelled)
 	case t.begun && !t.job.record.Policy.Idempotent:
 		q.setState(t, TaskUnknown)
 	default:
-		q.setState(t, TaskPending)
+		q.again(t, q.Now())
 	}
+	q.settleGang(t.job, q.Now())
+	q.settleJob(t.job)
 }
 
 // Ended records what racks tell of tasks that run no more, and answers with
@@ -194,6 +202,10 @@
 		j, known := q.jobs[ended.Job]
 		return !known || !j.segment.dirty()
 	}
+	if t.id == "" && !t.onlyAttempt(ended.State) {
+		// Another attempt may run; the rack tells again once it is known.
+		return false
+	}
 	if t.id == "" {
 		t.id, t.shard = ended.ID, id
 	}
@@ -201,6 +213,16 @@
 	return !t.job.segment.dirty()
 }
 
+// onlyAttempt reports whether an attempt that ended in this state was the last
+// one of the task: a finished task and one that must not run twice are not
+// started again.
+func (t *task) onlyAttempt(state worker.State) bool {
+	if state == worker.StateFinished {
+		return true
+	}
+	return !t.job.record.Policy.Idempotent && state != rack.StateNotStarted
+}
+
 // uncertain finds the task of an attempt that an earlier owner of the queue made.
 func (q *Queue) uncertain(ended rack.Ended) (t *task, ok bool) {
 	j, ok := q.jobs[ended.Job]
@@ -213,7 +235,9 @@
 
 func (q *Queue) applyEnded(t *task, ended rack.Ended, now time.Time) {
 	policy := t.job.record.Policy
+	q.note(t.job, "task %d: attempt %s ended on %s as %s", t.index, ended.ID, ended.Worker, ended.State)
 	t.worker = ended.Worker
+	t.lastEnded = ended.ID
 	switch {
 	case ended.State == worker.StateFinished && policy.Kind != config.KindService:
 		t.output, t.cut = cutOutput(ended.Output)
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -33,6 +33,7 @@
 		return
 	}
 	q.recover(now)
+	q.reconcile(now)
 	q.flush(now)
 	q.schedule(now)
 	q.repeatStops(now)
@@ -42,6 +43,7 @@
 // plan is one round of decisions over a copy of what is free.
 type plan struct {
 	free  map[shard.ID][]resource.Vector
+	names map[shard.ID][]string
 	order []shard.ID
 	place map[shard.ID]string
 	batch map[shard.ID][]rack.TaskSpec
@@ -50,6 +52,7 @@
 func (q *Queue) newPlan() *plan {
 	p := &plan{
 		free:  map[shard.ID][]resource.Vector{},
+		names: map[shard.ID][]string{},
 		place: map[shard.ID]string{},
 		batch: map[shard.ID][]rack.TaskSpec{},
 	}
@@ -61,22 +64,38 @@
 			continue
 		}
 		p.free[summary.Shard] = slices.Clone(summary.Free)
+		p.names[summary.Shard] = summary.Workers
 		p.place[summary.Shard] = summary.Place
 		p.order = append(p.order, summary.Shard)
 	}
 	for _, t := range q.tasks {
 		if t.state == TaskPlacing {
-			p.take(t.shard, t.job.record.Spec.Want)
+			p.take(t)
 		}
 	}
 	return p
 }
 
-// take notes that want will be used in a rack.
-func (p *plan) take(id shard.ID, want resource.Vector) {
-	i := placement.BestFit(p.free[id], want)
+// fit returns the worker of a rack that a task would go to, or -1.
+func (p *plan) fit(id shard.ID, t *task) int {
+	want := t.job.record.Spec.Want
+	if len(t.avoid) == 0 {
+		return placement.BestFit(p.free[id], want)
+	}
+	free := slices.Clone(p.free[id])
+	for i, name := range p.names[id] {
+		if slices.Contains(t.avoid, name) {
+			free[i] = resource.Vector{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+		}
+	}
+	return placement.BestFit(free, want)
+}
+
+// take notes what a task will use in its rack.
+func (p *plan) take(t *task) {
+	i := p.fit(t.shard, t)
 	if i >= 0 {
-		p.free[id][i] = p.free[id][i].Sub(want)
+		p.free[t.shard][i] = p.free[t.shard][i].Sub(t.job.record.Spec.Want)
 	}
 }
 
@@ -124,7 +143,7 @@
 		if !q.admit(j, 1) {
 			return
 		}
-		id, ok := q.choose(j, p)
+		id, ok := q.choose(t, p)
 		if !ok {
 			j.retryAt = now.Add(noRoomDelay)
 			j.reason = fmt.Sprintf("no rack has room for %s", j.record.Spec.Want)
@@ -132,7 +151,7 @@
 		}
 		j.reason = ""
 		q.begin(t, id)
-		p.take(id, j.record.Spec.Want)
+		p.take(t)
 		p.batch[id] = append(p.batch[id], t.spec())
 	}
 }
@@ -190,7 +209,18 @@
 
 // choose picks the rack for a task: services are spread over places and racks,
 // other work goes where it leaves the least room.
-func (q *Queue) choose(j *job, p *plan) (best shard.ID, ok bool) {
+func (q *Queue) choose(t *task, p *plan) (best shard.ID, ok bool) {
+	best, ok = chooseRack(t, p)
+	if !ok && len(t.avoid) > 0 {
+		// Better where it failed before than nowhere.
+		t.avoid = nil
+		return chooseRack(t, p)
+	}
+	return best, ok
+}
+
+func chooseRack(t *task, p *plan) (best shard.ID, ok bool) {
+	j := t.job
 	want := j.record.Spec.Want
 	service := j.record.Policy.Kind == config.KindService
 	var inRack, inPlace map[string]int
@@ -203,7 +233,7 @@
 		if !j.record.Policy.AllowsPlace(p.place[id]) {
 			continue
 		}
-		i := placement.BestFit(p.free[id], want)
+		i := p.fit(id, t)
 		if i < 0 {
 			continue
 		}
@@ -262,12 +292,14 @@
 		case results.NotOwner || notSent(err):
 			outcome = rack.OutcomeNoRoom
 		}
+		t.epoch = results.Epoch
 		q.placedOne(t, outcome, result.Worker)
 	}
 }
 
 func (q *Queue) placedOne(t *task, outcome rack.Outcome, name string) {
 	now := q.Now()
+	q.note(t.job, "task %d: attempt %s in %s on %s: %s", t.index, t.id, t.shard, name, outcome)
 	switch outcome {
 	case rack.OutcomeStarted:
 		t.worker, t.startedAt = name, now
@@ -314,7 +346,6 @@
 		for _, result := range results.Tasks {
 			if result.ID == id && result.Outcome == rack.OutcomeStopped && q.tasks[id] == t {
 				q.notRunning(t)
-				q.settleJob(t.job)
 			}
 		}
 	})
@@ -332,7 +363,8 @@
 		}
 		for _, row := range report.Rows {
 			if row.ID == id {
-				t.worker = row.Worker
+				q.note(t.job, "task %d: attempt %s runs on %s after all", t.index, id, row.Worker)
+				t.worker, t.epoch = row.Worker, report.Epoch
 				q.setState(t, TaskRunning)
 				t.job.machine.fire(triggerStart)
 				return
@@ -340,7 +372,6 @@
 		}
 		if report.Complete {
 			q.notRunning(t)
-			q.settleJob(t.job)
 		}
 	})
 }
--- a/internal/job/segment.go
+++ b/internal/job/segment.go
@@ -91,6 +91,11 @@
 	if !q.open || !q.MayStart(now) || now.Sub(q.lastSave) < saveSpacing {
 		return
 	}
+	for _, seg := range q.segments {
+		if len(seg.waiters) > 0 {
+			q.tellSaved(seg)
+		}
+	}
 	for _, seg := range q.dirty() {
 		if q.saving >= parallelSaves {
 			return
@@ -124,14 +129,19 @@
 		return
 	}
 	seg.revision, seg.saved = result.Revision, version
+	q.tellSaved(seg)
+}
+
+// tellSaved calls those who wait for what the store now has. Without the right
+// to the queue nobody is told: a successor may have read the store before.
+func (q *Queue) tellSaved(seg *segment) {
 	if !q.MayStart(q.Now()) {
-		// A successor may have read the store before this write: nobody is told.
 		return
 	}
 	waiting := seg.waiters
 	seg.waiters = nil
 	for _, w := range waiting {
-		if w.version > version {
+		if w.version > seg.saved {
 			seg.waiters = append(seg.waiters, w)
 			continue
 		}
--- a/internal/minion/minion.go
+++ b/internal/minion/minion.go
@@ -76,6 +76,10 @@
 
 // Client talks to one minion over a bounded number of connections.
 type Client struct {
+	// RoundTrip sends a request, at most once; tests replace it. It must report
+	// a connection to the trace of the request before it writes.
+	RoundTrip func(req *http.Request) (*http.Response, error)
+
 	base      string
 	transport *http.Transport
 }
@@ -85,14 +89,16 @@
 // New returns a Client of the minion called name at address that opens at most
 // the given number of connections.
 func New(address, name string, connections int) *Client {
+	transport := &http.Transport{
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
 	return &Client{
-		base: "http://" + address + "/v1/minions/" + url.PathEscape(name),
-		transport: &http.Transport{
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
-			IdleConnTimeout:     time.Minute,
-			DisableCompression:  true,
-		},
+		RoundTrip: transport.RoundTrip,
+		base:      "http://" + address + "/v1/minions/" + url.PathEscape(name),
+		transport: transport,
 	}
 }
 
@@ -113,7 +119,7 @@
 	req.ContentLength = int64(len(request.Body))
 	req.GetBody = nil
 	req.Header.Set(HeaderRequestID, request.ID)
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.RoundTrip(req)
 	if err != nil {
 		if !connected.Load() {
 			return Answer{}, ErrUnsent.Wrap(err)
@@ -153,7 +159,7 @@
 	if err != nil {
 		return Status{}, err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.RoundTrip(req)
 	if err != nil {
 		return Status{}, err
 	}
--- a/internal/rack/messages.go
+++ b/internal/rack/messages.go
@@ -65,6 +65,7 @@
 // Results answers PlaceRequest and TaskRequest. NotOwner means that nothing was done.
 type Results struct {
 	NotOwner bool         `json:"not-owner,omitempty"`
+	Epoch    int64        `json:"epoch,omitempty"`
 	Tasks    []TaskResult `json:"tasks,omitempty"`
 	// Summary is the state of the rack after the call.
 	Summary Summary `json:"summary,omitzero"`
@@ -85,12 +86,15 @@
 	Worker string          `json:"worker"`
 	Want   resource.Vector `json:"want"`
 	Ended  worker.State    `json:"ended,omitempty"`
+	// Running is false for tasks that ended and for holds of earlier owners.
+	Running bool `json:"running,omitempty"`
 }
 
 // Report answers ReportRequest. Complete means that no task of the team that
 // is not listed may run in the rack.
 type Report struct {
 	NotOwner bool        `json:"not-owner,omitempty"`
+	Epoch    int64       `json:"epoch,omitempty"`
 	Complete bool        `json:"complete"`
 	Rows     []ReportRow `json:"rows,omitempty"`
 }
@@ -128,6 +132,7 @@
 	Ready    bool            `json:"ready"`
 	Place    string          `json:"place"`
 	Capacity resource.Vector `json:"capacity"`
-	// Free lists what is free on each worker that takes work.
-	Free []resource.Vector `json:"free,omitempty"`
+	// Workers lists the workers that take work, Free what is free on each.
+	Workers []string          `json:"workers,omitempty"`
+	Free    []resource.Vector `json:"free,omitempty"`
 }
--- a/internal/rack/node.go
+++ b/internal/rack/node.go
@@ -180,12 +180,20 @@
 	case t.state == taskHeld && now.After(t.leaseEnd):
 		r.drop(t)
 	}
-	if t.live() && !t.adopted && !t.leaseEnd.IsZero() && now.After(t.leaseEnd.Add(leaseMargin)) && t.state != taskGranting && t.state != taskStarting {
-		// The owner that granted the lease is the only one that renews it.
+	if r.lapsed(t, now) {
 		r.end(t, worker.StateLapsed, "", now)
 	}
 }
 
+// lapsed reports whether the lease of a task has provably ended. Whoever holds
+// the right to the rack and granted the lease is the only one that renews it.
+func (r *Rack) lapsed(t *task, now time.Time) bool {
+	if !t.live() || t.adopted || t.state == taskGranting || t.state == taskStarting {
+		return false
+	}
+	return now.After(t.leaseEnd.Add(leaseMargin)) && r.MayStart(now)
+}
+
 func (r *Rack) checkSilence(n *node, now time.Time) {
 	if now.Sub(n.lastAnswer) < silenceLimit || n.state() != nodeReady {
 		return
@@ -289,6 +297,9 @@
 
 func (r *Rack) applyRow(t *task, row worker.Task, now time.Time) {
 	t.usage = row.Usage
+	if row.State == worker.StateRunning {
+		t.foundHeld = false
+	}
 	switch {
 	case row.State == worker.StateGranted && t.state == taskUnknown:
 		t.state = taskStopping
@@ -321,7 +332,7 @@
 		confirmed: sentAt,
 	}
 	if row.State == worker.StateGranted {
-		t.state = taskStopping
+		t.state, t.foundHeld = taskStopping, true
 	}
 	r.tasks[row.Task] = t
 	n.add(t)
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -106,6 +106,7 @@
 	ended     Ended
 	finite    bool
 	adopted   bool
+	foundHeld bool // adopted as a lease that was granted and not started
 	stopBusy  bool
 	usage     resource.Vector
 	reply     func(Outcome)
@@ -136,6 +137,9 @@
 // Ready reports whether every worker of the rack was heard or dropped since
 // the rack is owned.
 func (r *Rack) Ready() bool {
+	if len(r.nodes) == 0 {
+		return false
+	}
 	for _, n := range r.nodes {
 		if n.state() == nodeAdopting {
 			return false
@@ -160,6 +164,7 @@
 		n := r.nodes[name]
 		s.Capacity = s.Capacity.Add(n.host.Capacity)
 		if n.takesWork() {
+			s.Workers = append(s.Workers, name)
 			s.Free = append(s.Free, n.free())
 		}
 	}
@@ -388,8 +393,12 @@
 
 // Stop stops tasks. A task is reported stopped once the worker has confirmed
 // it; until then its result is OutcomeUnknown and a message about its end follows.
-func (r *Rack) Stop(req TaskRequest, _ time.Time, reply func(Results)) {
+func (r *Rack) Stop(req TaskRequest, now time.Time, reply func(Results)) {
 	r.init()
+	if !r.MayStart(now) {
+		reply(Results{NotOwner: true})
+		return
+	}
 	var results Results
 	for _, spec := range req.Tasks {
 		t, ok := r.tasks[spec.ID]
@@ -455,7 +464,7 @@
 		Worker: t.node.host.Name, State: state, Output: output,
 	}
 	t.node.record(state, now)
-	event.TaskEnded.Log(r.Log).Str("task", t.spec.ID).Str("state", string(state)).Send()
+	event.TaskEnded.Log(r.Log).Str("task", t.spec.ID).Str("state", string(state)).Str("worker", t.node.host.Name).Send()
 	// Tasks that end in one report go out together, on the next tick.
 	r.delivery[t.team] = now
 }
@@ -499,14 +508,15 @@
 	}
 }
 
-// Report lists all tasks of a team and fences its lower epochs.
-func (r *Rack) Report(req ReportRequest) (report Report) {
+// Report lists all tasks of a team and fences its lower epochs. Without the
+// right to the rack nothing is told: a successor may run tasks not known here.
+func (r *Rack) Report(req ReportRequest, now time.Time) (report Report) {
 	r.init()
-	if r.draining {
+	if r.draining || !r.MayStart(now) {
 		return Report{NotOwner: true}
 	}
 	r.fences[req.Team] = max(r.fences[req.Team], req.TeamEpoch)
-	report.Complete = r.Ready()
+	report.Epoch, report.Complete = r.Epoch, r.Ready()
 	for _, id := range slices.Sorted(maps.Keys(r.tasks)) {
 		t := r.tasks[id]
 		if t.team != req.Team {
@@ -515,9 +525,14 @@
 		if t.state == taskGranting || t.state == taskStarting {
 			report.Complete = false
 		}
+		if !t.started {
+			// A hold runs nothing, and only the queue that asked for it may start it.
+			continue
+		}
 		report.Rows = append(report.Rows, ReportRow{
 			ID: id, Job: t.spec.Job, Index: t.spec.Index,
 			Worker: t.node.host.Name, Want: t.spec.Want, Ended: t.ended.State,
+			Running: t.live() && !t.foundHeld,
 		})
 	}
 	return report
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,7 @@
 type HostList struct {
 	Address string
 	Poll    time.Duration // time between two reads of the list
+	Lag     time.Duration // how long the list may take to show a new host
 }
 
 // Operator is the section [operator].
@@ -101,6 +102,9 @@
 	return decode(file)
 }
 
+// DefaultHostListLag is the default of the key lag in the section [host-list].
+const DefaultHostListLag = 10 * time.Second
+
 // DefaultTiming returns the defaults of the section [timing].
 func DefaultTiming() Timing {
 	return Timing{
@@ -132,6 +136,7 @@
 	set.HostList = HostList{
 		Address: hosts.Address("address", ""),
 		Poll:    hosts.Duration("poll", time.Second),
+		Lag:     hosts.Duration("lag", DefaultHostListLag),
 	}
 	operator := file.Section("operator")
 	set.Operator.KeyHash = operator.String("key-hash", "")
@@ -175,7 +180,7 @@
 	fmt.Fprintf(&b, "[entry]\nname = %s\nplace = %s\nhttp-address = %s\npeer-address = %s\npeers = %s\n\n",
 		s.Entry.Name, s.Entry.Place, s.Entry.HTTPAddress, s.Entry.PeerAddress, strings.Join(s.Entry.Peers, ", "))
 	fmt.Fprintf(&b, "[store]\naddress = %s\ntimeout = %s\n\n", s.Store.Address, s.Store.Timeout)
-	fmt.Fprintf(&b, "[host-list]\naddress = %s\npoll = %s\n\n", s.HostList.Address, s.HostList.Poll)
+	fmt.Fprintf(&b, "[host-list]\naddress = %s\npoll = %s\nlag = %s\n\n", s.HostList.Address, s.HostList.Poll, s.HostList.Lag)
 	fmt.Fprintf(&b, "[operator]\nkey-hash = (redacted)\n\n")
 	fmt.Fprintf(&b, "[timing]\nright = %s\ndrift = %s\nheartbeat = %s\nsuspect = %s\ntask-lease = %s\nstop = %s\n\n",
 		s.Timing.Right, s.Timing.Drift, s.Timing.Heartbeat, s.Timing.Suspect, s.Timing.TaskLease, s.Timing.Stop)
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -51,11 +51,12 @@
 }
 
 type peerState struct {
-	lastAnswer time.Time // send time of the last call it answered
-	clearAt    time.Time // send time of the last call it answered without claims
-	granted    bool      // it may claim our shards
-	grantedUs  bool      // we may claim its shards
-	gone       bool      // proved dead
+	lastAnswer time.Time        // send time of the last call it answered
+	clearAt    time.Time        // send time of the last call it answered without claims
+	granted    bool             // it may claim our shards
+	grantedUs  bool             // we may claim its shards
+	gone       bool             // proved dead
+	saw        map[string]int64 // revisions of the tables it has seen
 }
 
 // Write is a compare-and-swap of one table to attempt at the store. It stays
@@ -65,6 +66,9 @@
 	Revision int64
 	Table    Table
 
+	// Changes tells for people what the write changes.
+	Changes []string
+
 	claims []Instance // owners whose rows the write takes
 }
 
@@ -255,6 +259,13 @@
 	b.peers[peer].grantedUs = true
 }
 
+// Saw records which revisions of the tables peer has seen. A peer that has
+// seen a row with another owner has stopped there.
+func (b *Book) Saw(peer Instance, revisions map[string]int64) {
+	b.Peer(peer)
+	b.peers[peer].saw = revisions
+}
+
 // Gone records a proof that peer runs no more.
 func (b *Book) Gone(peer Instance) {
 	b.Peer(peer)
@@ -324,6 +335,13 @@
 	return phase == PhaseOwned && now.Before(b.rightEnd)
 }
 
+// MayStartAt is MayStart for state that was opened at an epoch. State of an
+// earlier epoch starts nothing, though the shard may be owned again.
+func (b *Book) MayStartAt(id ID, epoch int64, now time.Time) bool {
+	held, ok := b.holdings[id]
+	return ok && held.epoch == epoch && b.MayStart(id, now)
+}
+
 // Held lists the shards whose row names this process.
 func (b *Book) Held() []ID { return slices.Sorted(maps.Keys(b.holdings)) }
 
@@ -337,6 +355,23 @@
 	return row.Owner, row.Epoch
 }
 
+// Instances lists the owners in the tables and the earlier owners that are not
+// known to have stopped, but those that are proved gone.
+func (b *Book) Instances() (list []Instance) {
+	seen := map[Instance]bool{"": true, b.self: true}
+	for _, state := range b.tables {
+		for _, row := range state.table.Rows {
+			for _, instance := range append([]Instance{row.Owner}, row.Pending...) {
+				if !seen[instance] && !b.IsGone(instance) {
+					list = append(list, instance)
+				}
+				seen[instance] = true
+			}
+		}
+	}
+	return list
+}
+
 // Drained tells that nothing of a releasing shard is under way any more.
 func (b *Book) Drained(id ID) {
 	if held, ok := b.holdings[id]; ok && held.releasing {
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -95,7 +96,9 @@
 	if b.Faults.IgnorePending && row.Owner != "" {
 		former = []Instance{row.Owner}
 	}
-	former = slices.DeleteFunc(former, func(i Instance) bool { return i == b.self })
+	former = slices.DeleteFunc(former, func(i Instance) bool {
+		return i == b.self || i != row.Owner && b.hasStopped(i, id.TableKey())
+	})
 	for _, instance := range former {
 		if !b.mayClaimFrom(instance, now) {
 			return
@@ -109,6 +112,14 @@
 	former = slices.Compact(former)
 	write.Table.Rows[id] = Row{Owner: b.self, Epoch: row.Epoch + 1, Pending: former}
 	write.claims = append(write.claims, former...)
+	write.Changes = append(write.Changes, fmt.Sprintf("claim %s from %q", id, row.Owner))
+}
+
+// hasStopped reports whether an earlier owner has seen that it owns the rows
+// of a table no more.
+func (b *Book) hasStopped(instance Instance, key string) bool {
+	state, ok := b.peers[instance]
+	return ok && state.saw[key] >= b.state(key).revision
 }
 
 func (b *Book) mayClaimFrom(instance Instance, now time.Time) bool {
@@ -142,6 +153,7 @@
 		row.Pending = write.Table.Rows[id].Pending
 	}
 	write.Table.Rows[id] = row
+	write.Changes = append(write.Changes, fmt.Sprintf("give %s to %q", id, successor))
 }
 
 // keep takes back a release that was not written yet.
@@ -166,4 +178,5 @@
 	row := write.Table.Rows[id]
 	row.Pending = nil
 	write.Table.Rows[id] = row
+	write.Changes = append(write.Changes, fmt.Sprintf("settle %s", id))
 }
--- a/internal/shard/table.go
+++ b/internal/shard/table.go
@@ -24,10 +24,29 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Instance identifies one run of an entry process. A restarted process has
-// another instance, so that it inherits no rights.
+// Instance identifies one run of an entry process: host name, peer address and
+// a random part. A restarted process has another instance, so that it inherits
+// no rights.
 type Instance string
 
+// NewInstance returns the instance of a run.
+func NewInstance(name, address, random string) Instance {
+	return Instance(name + "/" + address + "/" + random)
+}
+
+// Name returns the name of the instance's host.
+func (i Instance) Name() string {
+	name, _, _ := strings.Cut(string(i), "/")
+	return name
+}
+
+// Address returns the peer address of the instance.
+func (i Instance) Address() string {
+	_, rest, _ := strings.Cut(string(i), "/")
+	address, _, _ := strings.Cut(rest, "/")
+	return address
+}
+
 // Kind is the kind of a shard, the first part of its id.
 type Kind string
 
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -79,6 +79,7 @@
 // Set is the owner's state of a set of minions of one service.
 type Set struct {
 	ID     shard.ID
+	Epoch  int64
 	Log    zerolog.Logger
 	Checks *invariant.Checks
 	// Now reads the clock.
@@ -111,6 +112,7 @@
 	leaving   bool
 	failures  int
 	polling   bool
+	polls     int // grows when polls under way say nothing any more
 	nextPoll  time.Time
 	downUntil time.Time
 }
@@ -168,8 +170,22 @@
 	return true
 }
 
-// Undrain takes requests again.
-func (s *Set) Undrain() { s.draining = false }
+// Reopen takes requests again. After another process owned the set in between,
+// all slots but those of this process's own requests count as taken until the
+// minions are heard.
+func (s *Set) Reopen(epoch int64) {
+	s.draining = false
+	if epoch == s.Epoch {
+		return
+	}
+	s.Epoch = epoch
+	for _, t := range s.targets {
+		t.heard = false
+		t.foreign = max(0, t.host.Slots-t.inFlight)
+		t.polls++
+		t.nextPoll = time.Time{}
+	}
+}
 
 // InFlight returns how many requests this process has at the minions.
 func (s *Set) InFlight() (n int) {
@@ -329,18 +345,22 @@
 
 func (s *Set) poll(t *target, now time.Time) {
 	t.polling = true
-	before, foreign := t.inFlight, t.foreign
+	before, foreign, polls := t.inFlight, t.foreign, t.polls
 	s.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 		defer cancel()
 		status, err := t.client.Status(ctx)
-		s.Post(func() { s.polled(t, now, before, foreign, status, err) })
+		s.Post(func() {
+			t.polling = false
+			if polls == t.polls {
+				s.polled(t, now, before, foreign, status, err)
+			}
+		})
 	})
 }
 
 func (s *Set) polled(t *target, sentAt time.Time, before, foreign int, status minion.Status, err error) {
 	now := s.Now()
-	t.polling = false
 	t.nextPoll = now.Add(statusPoll)
 	if err != nil {
 		s.failed(t, now)
--- a/internal/standin/minion.go
+++ b/internal/standin/minion.go
@@ -63,6 +63,13 @@
 	return stats
 }
 
+// Seen reports whether the minion ran a request of this id.
+func (m *Minion) Seen(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.seen[id]
+}
+
 func (m *Minion) handleStatus(_ context.Context, c *app.RequestContext) {
 	httpserve.JSON(c, 200, minion.Status{Name: m.Name, Busy: int(m.busy.Load()), Leaving: m.Leaving.Load()})
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -37,6 +37,8 @@
 	Fenced      int64 `json:"fenced"`
 	OverCommits int64 `json:"refused-over-commits"`
 	DoubleRuns  int64 `json:"double-runs"`
+	// Doubles names the attempts that ran besides another of the same task.
+	Doubles []string `json:"doubles,omitempty"`
 	// DoubleStarts counts tasks labelled non-idempotent that were started twice.
 	DoubleStarts int64 `json:"double-starts"`
 	// PeakByTeam is the most tasks of each team that ran at one instant.
@@ -98,6 +100,29 @@
 	s.workers[name] = &standinWorker{name: name, capacity: capacity, tasks: map[string]*standinTask{}}
 }
 
+// Remove stops everything on a worker and forgets it.
+func (s *Workers) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, ok := s.workers[name]
+	if !ok {
+		return
+	}
+	for _, task := range w.tasks {
+		if task.state.Live() {
+			s.end(task, worker.StateLapsed, time.Now())
+		}
+	}
+	delete(s.workers, name)
+}
+
+// Freeze makes a worker unreachable, or reachable again; its tasks and leases go on.
+func (s *Workers) Freeze(name string, frozen bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen[name] = frozen
+}
+
 // Run ends leases and tasks on time until ctx ends.
 func (s *Workers) Run(ctx context.Context) {
 	const period = 5 * time.Millisecond
@@ -132,12 +157,8 @@
 	srv.POST("/v1/freeze/:worker", s.handleFreeze)
 }
 
-// handleFreeze makes one worker unreachable, or reachable again; its tasks and
-// leases go on.
 func (s *Workers) handleFreeze(_ context.Context, c *app.RequestContext) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.frozen[c.Param("worker")] = c.Query("off") == ""
+	s.Freeze(c.Param("worker"), c.Query("off") == "")
 }
 
 // Stats returns what was counted so far.
@@ -300,6 +321,7 @@
 	s.running[name]++
 	if s.running[name] > 1 {
 		s.stats.DoubleRuns++
+		s.stats.Doubles = append(s.stats.Doubles, task.grant.Task)
 	}
 	s.started[name]++
 	if task.grant.Labels["non-idempotent"] != "" && s.started[name] > 1 {
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -110,18 +110,16 @@
 	Tasks  []Task `json:"tasks"`
 }
 
-// Client talks to workers.
+// Client talks to workers. The contexts of its calls bound them.
 type Client struct {
 	// Do sends a request; tests replace it.
 	Do func(req *http.Request) (*http.Response, error)
 }
 
-const callTimeout = 2 * time.Second
-
 // New returns a Client.
 func New() *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 16, IdleConnTimeout: time.Minute}
-	httpClient := &http.Client{Transport: transport, Timeout: callTimeout}
+	httpClient := &http.Client{Transport: transport}
 	return &Client{Do: httpClient.Do}
 }
 
