fix: stop two processes from claiming a shard in turn; feat: explain

Shards were also given to processes that the store does not answer. Ruled out: a longer suspicion time, which only slows the war down. Change: a shard is claimed only if no process that is heard vouches for its owner's work, and an unsettled claim is left alone for 10 s; processes without the store get no shards. turmericspread explain shows a job's history and what holds it back.

--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -103,6 +103,30 @@
 	}
 }
 
+func newExplainCmd(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:     "explain JOB",
+		Short:   "Tell why a job waits, where it went and what was weighed",
+		Example: "  turmericspread explain settlement.5f0c",
+		Args:    exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			job, err := opts.client().Explain(cmd.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return opts.print(job, func(w io.Writer) {
+				_, _ = fmt.Fprintf(w, "job %s of kind %s is %s: %s\n", job.ID, job.Kind, job.State, counts(job.Counts))
+				for _, line := range job.Standing {
+					_, _ = fmt.Fprintf(w, "- %s\n", line)
+				}
+				for _, note := range job.History {
+					_, _ = fmt.Fprintf(w, "%s\t%s\n", note.Time.Format("15:04:05.000"), note.Text)
+				}
+			})
+		},
+	}
+}
+
 func newWaitCmd(opts *options) *cobra.Command {
 	return &cobra.Command{
 		Use:     "wait JOB",
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -118,7 +118,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return badInput{err} })
 	root.AddCommand(
 		newServeCmd(opts), newCheckCmd(opts), newSettingsCmd(opts), newVersionCmd(opts),
-		newSubmitCmd(opts), newJobCmd(opts), newWaitCmd(opts), newCancelCmd(opts), newRequestCmd(opts),
+		newSubmitCmd(opts), newJobCmd(opts), newWaitCmd(opts), newExplainCmd(opts), newCancelCmd(opts), newRequestCmd(opts),
 		newTablesCmd(opts), newRouteCmd(opts), newPoolCmd(opts), newTeamCmd(opts), newKeyCmd(opts),
 		newStatusCmd(opts), newDumpCmd(opts),
 	)
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -176,6 +176,7 @@
 		return
 	}
 	ref.WaitMS = wait.Milliseconds()
+	ref.Explain = c.Query("explain") == "true"
 	reply, err := e.Get(ctx, ref)
 	e.answerJob(c, team, ref.ID, reply, err, 200)
 }
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -22,6 +22,8 @@
 type member struct {
 	info    Info
 	leaving bool
+	working bool // its right to start work lasts
+	offline bool // the store does not answer it
 	busy    bool // a heartbeat to it is under way
 	silent  bool
 	heardAt time.Time // of its last heartbeat
@@ -92,8 +94,13 @@
 		ConfigVersion: e.tables.Load().Version,
 	}
 	beat.Racks, beat.Sets, beat.Teams = e.ownSummaries(now)
-	for _, m := range e.members {
+	beat.Working = now.Before(e.book.RightEnd())
+	beat.Connected = now.Sub(e.book.ConfirmedAt()) < storeFresh
+	for instance, m := range e.members {
 		beat.Members = append(beat.Members, m.info)
+		if m.working && now.Sub(m.heardAt) < e.Settings.Timing.Suspect/2 {
+			beat.Heard = append(beat.Heard, instance)
+		}
 	}
 	return beat
 }
@@ -182,6 +189,10 @@
 
 func (e *Entry) takeSummaries(m *member, beat *Heartbeat, now time.Time) {
 	m.heardAt, m.leaving = now, beat.Leaving
+	m.working, m.offline = beat.Working, !beat.Connected
+	for _, instance := range beat.Heard {
+		e.book.Vouched(instance, now)
+	}
 	m.racks, m.sets, m.teams = beat.Racks, beat.Sets, beat.Teams
 	for _, q := range e.queues {
 		q.ForgetViews()
@@ -250,7 +261,7 @@
 		list = append(list, shard.Member{Instance: e.info.Instance, Place: e.info.Place})
 	}
 	for instance, m := range e.members {
-		if e.book.Live(instance, now) && !m.leaving && !m.heardAt.IsZero() {
+		if e.book.Live(instance, now) && !m.leaving && !m.offline && !m.heardAt.IsZero() {
 			list = append(list, shard.Member{Instance: instance, Place: m.info.Place})
 		}
 	}
--- a/internal/entry/messages.go
+++ b/internal/entry/messages.go
@@ -43,6 +43,12 @@
 	Sets          []slot.Summary   `json:"sets,omitempty"`
 	Teams         []job.Summary    `json:"teams,omitempty"`
 	Members       []Info           `json:"members,omitempty"`
+	// Working tells that the sender's right to start work lasts, Heard lists
+	// the processes that it hears and that told the same.
+	Working bool             `json:"working,omitempty"`
+	Heard   []shard.Instance `json:"heard,omitempty"`
+	// Connected tells that the store answered the sender lately.
+	Connected bool `json:"connected,omitempty"`
 }
 
 // HeartbeatReply answers a Heartbeat.
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -48,6 +48,7 @@
 	revision int64
 	table    Table
 	write    *Write
+	changed  map[ID]time.Time // when the present epoch of a row was first seen
 }
 
 type peerState struct {
@@ -56,6 +57,7 @@
 	granted    bool             // it may claim our shards
 	grantedUs  bool             // we may claim its shards
 	gone       bool             // proved dead
+	vouched    time.Time        // when another peer last told that it works
 	saw        map[string]int64 // revisions of the tables it has seen
 }
 
@@ -133,6 +135,11 @@
 	if revision <= state.revision {
 		return
 	}
+	for id, row := range table.Rows {
+		if state.table.Rows[id].Epoch != row.Epoch {
+			state.changed[id] = now
+		}
+	}
 	state.revision, state.table = revision, table
 	if state.write != nil && revision > state.write.Revision {
 		b.resolve(state)
@@ -150,7 +157,7 @@
 func (b *Book) state(key string) *tableState {
 	state, ok := b.tables[key]
 	if !ok {
-		state = &tableState{table: Table{Rows: map[ID]Row{}}}
+		state = &tableState{table: Table{Rows: map[ID]Row{}}, changed: map[ID]time.Time{}}
 		b.tables[key] = state
 	}
 	return state
@@ -259,6 +266,15 @@
 	b.peers[peer].grantedUs = true
 }
 
+// Vouched records that another peer hears peer and that its right lasts.
+func (b *Book) Vouched(peer Instance, now time.Time) {
+	if peer == b.self {
+		return
+	}
+	b.Peer(peer)
+	b.peers[peer].vouched = now
+}
+
 // Saw records which revisions of the tables peer has seen. A peer that has
 // seen a row with another owner has stopped there.
 func (b *Book) Saw(peer Instance, revisions map[string]int64) {
--- a/internal/shard/plan.go
+++ b/internal/shard/plan.go
@@ -11,6 +11,10 @@
 // claim that cannot complete would only keep the owner from prolonging.
 const storeFresh = 2 * time.Second
 
+// claimPause is how long a shard that was claimed is left to its claimant, so
+// that two processes that do not hear each other do not claim it in turn.
+const claimPause = 10 * time.Second
+
 // View is what a process knows of the cell besides the tables.
 type View struct {
 	// Shards are all shards of the cell.
@@ -104,6 +108,9 @@
 			return
 		}
 	}
+	if len(row.Pending) > 0 && !b.IsGone(row.Owner) && now.Sub(b.state(id.TableKey()).changed[id]) < claimPause {
+		return
+	}
 	write := b.edit(id, edits)
 	if write == nil {
 		return
@@ -127,7 +134,7 @@
 	if ok && state.gone {
 		return true
 	}
-	if b.Live(instance, now) {
+	if b.Live(instance, now) || ok && now.Sub(state.vouched) < b.timing.Suspect {
 		return false
 	}
 	return ok && state.grantedUs || b.Faults.IgnoreGrants
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -69,6 +69,15 @@
 	Counts  map[string]int `json:"counts"`
 	Tasks   []Task         `json:"tasks"`
 	Reason  string         `json:"reason,omitempty"`
+	// History and Standing are filled in by Explain.
+	History  []Note   `json:"history,omitempty"`
+	Standing []string `json:"standing,omitempty"`
+}
+
+// Note is one line of a job's history.
+type Note struct {
+	Time time.Time `json:"time"`
+	Text string    `json:"text"`
 }
 
 // Over reports whether the job changes no more.
@@ -131,6 +140,13 @@
 	}
 }
 
+// Explain returns a job with its history and what holds it back.
+func (c *Client) Explain(ctx context.Context, id string) (job *Job, err error) {
+	job = &Job{}
+	err = c.Call(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"?explain=true", nil, job)
+	return job, err
+}
+
 // Cancel cancels a job.
 func (c *Client) Cancel(ctx context.Context, id string) (job *Job, err error) {
 	job = &Job{}
