feat: keep shares, urgent work and lowered limits in a full cell

Cause: shares were only a check before a start; running tasks were never stopped, so a team that came later waited for the others to finish. Ruled out: a central allocator (a leader in disguise) and victims chosen by the rack, which does not know the fleet's shares. Change: every queue computes weighted dominant-resource shares from the summaries of the heartbeats and gives up its own excess, preemptible and youngest tasks first, checkpointed; room that urgent work waits for is left to it; a lowered limit stops what runs above it, but for tasks that must not run twice, which finish.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,6 +83,7 @@
 	seen       map[shard.Instance]time.Time // when an instance was first seen in a table
 	absent     map[shard.Instance]time.Time // since when the host list lacks an instance's host
 	fetching   bool
+	fleet      *fleet
 	firstWatch bool
 }
 
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -12,9 +12,7 @@
 	"turmericspread.org/turmericspread/internal/job"
 	"turmericspread.org/turmericspread/internal/peer"
 	"turmericspread.org/turmericspread/internal/rack"
-	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/shard"
-	"turmericspread.org/turmericspread/internal/share"
 	"turmericspread.org/turmericspread/internal/slot"
 )
 
@@ -300,57 +298,3 @@
 	}
 	return list
 }
-
-// demands returns what every team uses and wants in the whole fleet.
-func (e *Entry) demands() map[string]share.Demand {
-	tables := e.tables.Load()
-	demands := map[string]share.Demand{}
-	take := func(summary job.Summary) {
-		demands[summary.Team] = share.Demand{
-			Weight: tables.Teams[summary.Team].Share, Used: summary.Used, Pending: summary.Pending,
-		}
-	}
-	for instance, m := range e.members {
-		for _, summary := range m.teams {
-			if owner, _ := e.book.Owner(shard.TeamID(summary.Team)); owner == instance {
-				take(summary)
-			}
-		}
-	}
-	for _, q := range e.queues {
-		take(q.Summary())
-	}
-	return demands
-}
-
-// capacity returns what all workers of the host list have.
-func (e *Entry) capacity() (total resource.Vector) {
-	for _, host := range e.hostRows {
-		if host.Kind == hostlist.KindWorker {
-			total = total.Add(host.Capacity)
-		}
-	}
-	return total
-}
-
-// mayUse reports whether a team's share lets it use more: it does while others
-// leave room, or while the team is below what it is entitled to.
-func (e *Entry) mayUse(team string, used, more resource.Vector) bool {
-	total := e.capacity()
-	demands := e.demands()
-	own := demands[team]
-	if own.Weight == 0 {
-		return true
-	}
-	own.Used = used
-	demands[team] = own
-	var wanted resource.Vector
-	for _, d := range demands {
-		wanted = wanted.Add(d.Used).Add(d.Pending)
-	}
-	if total.Fits(wanted) {
-		return true
-	}
-	entitled := share.Entitlements(total, demands)[team]
-	return used.Add(more).Dominant(total) <= entitled+more.Dominant(total)
-}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -158,7 +158,7 @@
 
 func (e *Entry) teamStatus() (list []TeamStatus) {
 	tables := e.tables.Load()
-	total := e.capacity()
+	total := e.fleetView(time.Now()).total
 	summaries := map[string]job.Summary{}
 	for _, m := range e.members {
 		for _, summary := range m.teams {
--- a/internal/job/messages.go
+++ b/internal/job/messages.go
@@ -167,6 +167,8 @@
 	// Urgent is the part of Pending that is urgent.
 	Urgent  resource.Vector `json:"urgent,omitzero"`
 	Waiting int64           `json:"waiting"`
+	// Preemptible is the part of Used that may be stopped for others.
+	Preemptible resource.Vector `json:"preemptible,omitzero"`
 }
 
 const (
--- /dev/null
+++ b/internal/job/preempt.go
@@ -0,0 +1,107 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/resource"
+)
+
+const (
+	// preemptPeriod is the time between two looks at what the team must give up.
+	preemptPeriod = 200 * time.Millisecond
+	// preemptBatch bounds the tasks stopped in one look.
+	preemptBatch = 64
+)
+
+// preempt stops tasks that run above the team's limit, and preemptible tasks
+// that run above its share while others wait for theirs.
+func (q *Queue) preempt(now time.Time) {
+	if !q.recovered || now.Before(q.nextPreempt) {
+		return
+	}
+	q.nextPreempt = now.Add(preemptPeriod)
+	stopping, leaving := q.leaving()
+	excess := q.running - stopping - q.Tables().Teams[q.Team].Limit
+	release := q.ToRelease(q.used.Sub(leaving))
+	if excess <= 0 && release <= 0 {
+		return
+	}
+	for i, t := range q.victims() {
+		if i >= preemptBatch || excess <= 0 && release <= 0 {
+			return
+		}
+		policy := t.job.record.Policy
+		if excess <= 0 && !policy.Preemptible {
+			continue
+		}
+		excess--
+		release -= q.Fraction(t.job.record.Spec.Want)
+		q.preemptTask(t)
+	}
+}
+
+// leaving returns how many tasks are being stopped and what they hold.
+func (q *Queue) leaving() (count int64, held resource.Vector) {
+	for _, t := range q.tasks {
+		if t.state == TaskStopping {
+			count++
+			held = held.Add(t.job.record.Spec.Want)
+		}
+	}
+	return count, held
+}
+
+// victims lists the tasks that may be stopped without loss: preemptible ones
+// first, the youngest first. Tasks that must not run twice are left to finish.
+func (q *Queue) victims() (list []*task) {
+	for _, t := range q.tasks {
+		policy := t.job.record.Policy
+		if t.state == TaskRunning && policy.Idempotent && !t.job.record.Cancelled {
+			list = append(list, t)
+		}
+	}
+	slices.SortFunc(list, func(a, b *task) int {
+		pa, pb := a.job.record.Policy.Preemptible, b.job.record.Policy.Preemptible
+		switch {
+		case pa && !pb:
+			return -1
+		case pb && !pa:
+			return 1
+		}
+		if c := b.startedAt.Compare(a.startedAt); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.id, a.id)
+	})
+	return list
+}
+
+func (q *Queue) preemptTask(t *task) {
+	event.TaskPreempted.Log(q.Log).Str("task", t.id).Str("worker", t.worker).Send()
+	q.note(t.job, "task %d: attempt %s is checkpointed and stopped for the team's limit or share", t.index, t.id)
+	q.setState(t, TaskStopping)
+	q.stop(t)
+}
+
+// preemptible returns what the team's preemptible running tasks hold.
+func (q *Queue) preemptible() (held resource.Vector) {
+	for _, t := range q.tasks {
+		if t.state == TaskRunning && t.job.record.Policy.Preemptible && t.job.record.Policy.Idempotent {
+			held = held.Add(t.job.record.Spec.Want)
+		}
+	}
+	return held
+}
+
+// stopRequest asks for the stop of one attempt, with a checkpoint first if it
+// will run again.
+func (q *Queue) stopRequest(t *task) rack.TaskRequest {
+	return rack.TaskRequest{
+		Shard: t.shard, Team: q.Team, TeamEpoch: q.Epoch, Tasks: []rack.TaskSpec{{ID: t.id}},
+		Checkpoint: t.job.record.Policy.Preemptible && !t.job.record.Cancelled,
+	}
+}
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -56,7 +56,11 @@
 	// RackEpoch returns the epoch of a rack's present owner.
 	RackEpoch func(id shard.ID) int64
 	// MayUse reports whether the team's share lets it use more.
-	MayUse func(used, more resource.Vector) bool
+	MayUse func(used, more resource.Vector, urgent bool) bool
+	// ToRelease returns the fraction of the cell that the team must give up.
+	ToRelease func(used resource.Vector) float64
+	// Fraction returns the dominant fraction of the cell that v takes.
+	Fraction func(v resource.Vector) float64
 	// Place, StartHeld, Stop and Report call the owner of a rack.
 	Place     func(req rack.PlaceRequest, done func(rack.Results, error))
 	StartHeld func(req rack.TaskRequest, done func(rack.Results, error))
@@ -85,6 +89,7 @@
 	recovered     bool
 	nextAsk       time.Time
 	nextReconcile time.Time
+	nextPreempt   time.Time
 	asked         map[shard.ID]time.Time // when a rack was last asked what runs
 	waiters       map[string][]func(Reply)
 }
@@ -400,7 +405,7 @@
 // Summary returns what other processes need to know of the queue.
 func (q *Queue) Summary() (s Summary) {
 	q.init()
-	s = Summary{Team: q.Team, Running: q.running, Used: q.used}
+	s = Summary{Team: q.Team, Running: q.running, Used: q.used, Preemptible: q.preemptible()}
 	headroom := q.Tables().Teams[q.Team].Limit - q.running
 	for _, j := range q.order {
 		n := min(int64(j.pending), max(headroom, 0))
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -37,6 +37,7 @@
 	q.flush(now)
 	q.schedule(now)
 	q.repeatStops(now)
+	q.preempt(now)
 	q.expire(now)
 }
 
@@ -180,7 +181,7 @@
 		j.reason = fmt.Sprintf("the team's limit of %d running tasks is reached", limit)
 		return false
 	}
-	if !q.MayUse(q.used, j.record.Spec.Want.Scale(n)) {
+	if !q.MayUse(q.used, j.record.Spec.Want.Scale(n), j.urgent) {
 		j.reason = "the cell is full and the team has its share"
 		return false
 	}
@@ -340,9 +341,8 @@
 	if t.shard == "" {
 		return
 	}
-	req := rack.TaskRequest{Shard: t.shard, Team: q.Team, TeamEpoch: q.Epoch, Tasks: []rack.TaskSpec{{ID: t.id}}}
 	id := t.id
-	q.Stop(req, func(results rack.Results, _ error) {
+	q.Stop(q.stopRequest(t), func(results rack.Results, _ error) {
 		for _, result := range results.Tasks {
 			if result.ID == id && result.Outcome == rack.OutcomeStopped && q.tasks[id] == t {
 				q.notRunning(t)
--- a/internal/rack/messages.go
+++ b/internal/rack/messages.go
@@ -53,6 +53,8 @@
 	Team      string     `json:"team"`
 	TeamEpoch int64      `json:"team-epoch"`
 	Tasks     []TaskSpec `json:"tasks"`
+	// Checkpoint asks to save the progress of tasks before they are stopped.
+	Checkpoint bool `json:"checkpoint,omitempty"`
 }
 
 // TaskResult is the outcome of one task.
--- a/internal/rack/node.go
+++ b/internal/rack/node.go
@@ -306,7 +306,9 @@
 	case row.State == worker.StateRunning && t.state == taskUnknown:
 		t.state = taskRunning
 	case !row.State.Live():
-		t.ended.Resume = row.Checkpoint
+		if len(row.Checkpoint) > 0 {
+			t.resume = row.Checkpoint
+		}
 		r.end(t, row.State, row.Output, now)
 	}
 }
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -108,6 +108,8 @@
 	adopted   bool
 	foundHeld bool // adopted as a lease that was granted and not started
 	stopBusy  bool
+	save      bool   // checkpoint before the stop
+	resume    []byte // progress saved by a checkpoint
 	usage     resource.Vector
 	reply     func(Outcome)
 }
@@ -409,7 +411,7 @@
 			results.Tasks = append(results.Tasks, TaskResult{ID: spec.ID, Outcome: OutcomeUnknown})
 		default:
 			if ok {
-				t.spec.Resume = spec.Resume
+				t.save = req.Checkpoint
 				r.stopTask(t)
 			}
 			results.Tasks = append(results.Tasks, TaskResult{ID: spec.ID, Outcome: OutcomeUnknown})
@@ -430,13 +432,21 @@
 
 func (r *Rack) sendStop(t *task) {
 	t.stopBusy = true
-	client, id := t.node.client, t.spec.ID
+	client, id, save := t.node.client, t.spec.ID, t.save
 	r.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
+		var saved []byte
+		if save {
+			// Without a checkpoint the task begins anew.
+			saved, _ = client.Checkpoint(ctx, id)
+		}
 		err := client.Stop(ctx, id)
 		r.Post(func() {
 			t.stopBusy = false
+			if len(saved) > 0 {
+				t.resume = saved
+			}
 			if !t.live() {
 				return
 			}
@@ -461,7 +471,7 @@
 	t.state = taskEnded
 	t.ended = Ended{
 		ID: t.spec.ID, Job: t.spec.Job, Index: t.spec.Index,
-		Worker: t.node.host.Name, State: state, Output: output,
+		Worker: t.node.host.Name, State: state, Output: output, Resume: t.resume,
 	}
 	t.node.record(state, now)
 	event.TaskEnded.Log(r.Log).Str("task", t.spec.ID).Str("state", string(state)).Str("worker", t.node.host.Name).Send()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -116,6 +117,13 @@
 	delete(s.workers, name)
 }
 
+// RunningByTeam returns how many tasks of each team run.
+func (s *Workers) RunningByTeam() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.teams)
+}
+
 // Freeze makes a worker unreachable, or reachable again; its tasks and leases go on.
 func (s *Workers) Freeze(name string, frozen bool) {
 	s.mu.Lock()
