--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -78,7 +79,7 @@
 	var refused *client.Error
 	var bad badInput
 	switch {
-	case errors.As(err, &bad):
+	case errors.As(err, &bad), strings.HasPrefix(err.Error(), "required flag"):
 		return exitBadInput
 	case errors.Is(err, errJobFailed):
 		return exitFailed
@@ -104,6 +105,13 @@
 3 nothing was run, 4 the outcome is unknown.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		Args: func(_ *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return badInput{fmt.Errorf("unknown command %q: turmericspread --help lists the commands", args[0])}
+			}
+			return nil
+		},
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 		PersistentPreRunE: func(*cobra.Command, []string) error {
 			if opts.output != "table" && opts.output != "json" {
 				return badInput{fmt.Errorf("flag --output: value %q: allowed: table, json", opts.output)}
--- a/internal/entry/member.go
+++ b/internal/entry/member.go
@@ -193,7 +193,7 @@
 	}
 	m.racks, m.sets, m.teams = beat.Racks, beat.Sets, beat.Teams
 	for _, q := range e.queues {
-		q.ForgetViews()
+		q.ForgetPlan()
 	}
 }
 
--- a/internal/job/gang.go
+++ b/internal/job/gang.go
@@ -46,10 +46,11 @@
 		if t.state != TaskPending {
 			continue
 		}
-		id, ok := q.choose(t, p)
+		id, ok := p.choose(t)
 		if !ok {
 			j.retryAt = now.Add(noRoomDelay)
 			j.reason = fmt.Sprintf("room for %d of the gang's %d tasks", len(chosen), j.open)
+			q.ForgetPlan()
 			return
 		}
 		chosen[t] = id
@@ -76,9 +77,6 @@
 		q.Place(req, func(results rack.Results, _ error) {
 			q.calls--
 			missing--
-			if results.Summary.Shard != "" {
-				q.views[id] = results.Summary
-			}
 			for _, result := range results.Tasks {
 				if result.Outcome == rack.OutcomeHeld {
 					held++
@@ -109,7 +107,7 @@
 		q.StartHeld(req, func(results rack.Results, err error) {
 			q.calls--
 			missing--
-			q.placed(id, specs, results, err)
+			q.placed(specs, results, err)
 			for _, result := range results.Tasks {
 				if result.Outcome == rack.OutcomeStarted {
 					started++
--- /dev/null
+++ b/internal/job/plan.go
@@ -0,0 +1,164 @@
+package job
+
+import (
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/placement"
+	"turmericspread.org/turmericspread/internal/rack"
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/shard"
+)
+
+// planAge is for how long one plan serves: rooms that tasks leave show after it.
+const planAge = 50 * time.Millisecond
+
+// plan is what decisions are made over: what is free in every rack, less what
+// this queue is placing. It is built anew when heartbeats have come, and kept up
+// to date by the answers of racks in between.
+type plan struct {
+	built time.Time
+	index *placement.Index
+	names map[shard.ID][]string
+	place map[shard.ID]string
+	batch map[shard.ID][]rack.TaskSpec
+}
+
+// present returns the plan, built from the newest summaries if need be.
+func (q *Queue) present() *plan {
+	now := q.Now()
+	if q.plan != nil && now.Sub(q.plan.built) < planAge {
+		return q.plan
+	}
+	q.plan = &plan{
+		built: now,
+		index: placement.NewIndex(),
+		names: map[shard.ID][]string{},
+		place: map[shard.ID]string{},
+		batch: map[shard.ID][]rack.TaskSpec{},
+	}
+	for _, summary := range q.Racks() {
+		q.plan.set(summary)
+	}
+	for _, t := range q.tasks {
+		if t.state == TaskPlacing {
+			q.plan.take(t)
+		}
+	}
+	return q.plan
+}
+
+func (p *plan) set(summary rack.Summary) {
+	if !summary.Ready {
+		summary.Free = nil
+	}
+	p.index.Set(string(summary.Shard), slices.Clone(summary.Free))
+	p.names[summary.Shard] = summary.Workers
+	p.place[summary.Shard] = summary.Place
+}
+
+// learn takes what a rack answered into the plan.
+func (q *Queue) learn(summary rack.Summary) {
+	if q.plan == nil || summary.Shard == "" {
+		return
+	}
+	q.plan.set(summary)
+	for _, t := range q.tasks {
+		if t.state == TaskPlacing && t.shard == summary.Shard {
+			q.plan.take(t)
+		}
+	}
+}
+
+// fit returns the worker of a rack that a task would go to, or -1.
+func (p *plan) fit(id shard.ID, t *task) int {
+	want, free := t.job.record.Spec.Want, p.index.Free(string(id))
+	if len(t.avoid) == 0 {
+		return placement.BestFit(free, want)
+	}
+	free = slices.Clone(free)
+	for i, name := range p.names[id] {
+		if i < len(free) && slices.Contains(t.avoid, name) {
+			free[i] = resource.Vector{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+		}
+	}
+	return placement.BestFit(free, want)
+}
+
+// take notes what a task will use in its rack.
+func (p *plan) take(t *task) {
+	i := p.fit(t.shard, t)
+	if i >= 0 {
+		p.index.Take(string(t.shard), i, t.job.record.Spec.Want)
+	}
+}
+
+// choose picks the rack for a task. Services are spread over places and racks;
+// other work goes where it leaves little room.
+func (p *plan) choose(t *task) (best shard.ID, ok bool) {
+	best, ok = p.chooseOnce(t)
+	if !ok && len(t.avoid) > 0 {
+		// Better where it failed before than nowhere.
+		t.avoid = nil
+		return p.chooseOnce(t)
+	}
+	return best, ok
+}
+
+func (p *plan) chooseOnce(t *task) (best shard.ID, ok bool) {
+	policy := t.job.record.Policy
+	switch {
+	case policy.Kind == config.KindService:
+		return p.chooseSpread(t)
+	case len(t.avoid) > 0:
+		return p.chooseAvoiding(t)
+	}
+	var allowed func(string) bool
+	if len(policy.Places) > 0 {
+		allowed = func(name string) bool { return policy.AllowsPlace(p.place[shard.ID(name)]) }
+	}
+	name, _, ok := p.index.BestFit(t.job.record.Spec.Want, allowed)
+	return shard.ID(name), ok
+}
+
+// chooseAvoiding looks at all racks for a task that avoids some workers.
+func (p *plan) chooseAvoiding(t *task) (best shard.ID, ok bool) {
+	for _, name := range p.index.Racks() {
+		id := shard.ID(name)
+		if t.job.record.Policy.AllowsPlace(p.place[id]) && p.fit(id, t) >= 0 {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// chooseSpread looks at all racks for the place, and there the rack, with the
+// fewest tasks of the same service.
+func (p *plan) chooseSpread(t *task) (best shard.ID, ok bool) {
+	inRack, inPlace := spread(t.job)
+	var bestCount [2]int
+	for _, name := range p.index.Racks() {
+		id := shard.ID(name)
+		if !t.job.record.Policy.AllowsPlace(p.place[id]) || p.fit(id, t) < 0 {
+			continue
+		}
+		count := [2]int{inPlace[p.place[id]], inRack[id]}
+		if !ok || count[0] < bestCount[0] || count[0] == bestCount[0] && count[1] < bestCount[1] {
+			best, bestCount, ok = id, count, true
+		}
+	}
+	return best, ok
+}
+
+// spread counts the tasks of a job that hold resources, by rack and by place.
+func spread(j *job) (inRack map[shard.ID]int, inPlace map[string]int) {
+	inRack, inPlace = map[shard.ID]int{}, map[string]int{}
+	for _, t := range j.tasks {
+		if t.state.occupies() && t.shard != "" {
+			inRack[t.shard]++
+			inPlace[t.shard.Place()]++
+		}
+	}
+	return inRack, inPlace
+}
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -84,8 +84,8 @@
 	calls         int // calls that may start work
 	running       int64
 	used          resource.Vector
-	views         map[shard.ID]rack.Summary // newer than Racks, from answers
-	recovery      map[shard.ID]bool         // racks that have reported, while recovering
+	plan          *plan
+	recovery      map[shard.ID]bool // racks that have reported, while recovering
 	recovered     bool
 	nextAsk       time.Time
 	nextReconcile time.Time
@@ -134,7 +134,6 @@
 		q.jobs = map[string]*job{}
 		q.segments = map[int]*segment{}
 		q.tasks = map[string]*task{}
-		q.views = map[shard.ID]rack.Summary{}
 		q.recovery = map[shard.ID]bool{}
 		q.asked = map[shard.ID]time.Time{}
 		q.waiters = map[string][]func(Reply){}
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -2,14 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"turmericspread.org/turmericspread/internal/config"
 	"turmericspread.org/turmericspread/internal/invariant"
-	"turmericspread.org/turmericspread/internal/placement"
 	"turmericspread.org/turmericspread/internal/rack"
-	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/shard"
 )
 
@@ -41,70 +40,8 @@
 	q.expire(now)
 }
 
-// plan is one round of decisions over a copy of what is free.
-type plan struct {
-	free  map[shard.ID][]resource.Vector
-	names map[shard.ID][]string
-	order []shard.ID
-	place map[shard.ID]string
-	batch map[shard.ID][]rack.TaskSpec
-}
-
-func (q *Queue) newPlan() *plan {
-	p := &plan{
-		free:  map[shard.ID][]resource.Vector{},
-		names: map[shard.ID][]string{},
-		place: map[shard.ID]string{},
-		batch: map[shard.ID][]rack.TaskSpec{},
-	}
-	for _, summary := range q.Racks() {
-		if newer, ok := q.views[summary.Shard]; ok {
-			summary = newer
-		}
-		if !summary.Ready {
-			continue
-		}
-		p.free[summary.Shard] = slices.Clone(summary.Free)
-		p.names[summary.Shard] = summary.Workers
-		p.place[summary.Shard] = summary.Place
-		p.order = append(p.order, summary.Shard)
-	}
-	for _, t := range q.tasks {
-		if t.state == TaskPlacing {
-			p.take(t)
-		}
-	}
-	return p
-}
-
-// fit returns the worker of a rack that a task would go to, or -1.
-func (p *plan) fit(id shard.ID, t *task) int {
-	want := t.job.record.Spec.Want
-	if len(t.avoid) == 0 {
-		return placement.BestFit(p.free[id], want)
-	}
-	free := slices.Clone(p.free[id])
-	for i, name := range p.names[id] {
-		if slices.Contains(t.avoid, name) {
-			free[i] = resource.Vector{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
-		}
-	}
-	return placement.BestFit(free, want)
-}
-
-// take notes what a task will use in its rack.
-func (p *plan) take(t *task) {
-	i := p.fit(t.shard, t)
-	if i >= 0 {
-		p.free[t.shard][i] = p.free[t.shard][i].Sub(t.job.record.Spec.Want)
-	}
-}
-
-// ForgetViews drops answers of racks once newer summaries have come by heartbeat.
-func (q *Queue) ForgetViews() {
-	q.init()
-	clear(q.views)
-}
+// ForgetPlan lets the next decision start from the newest summaries of the racks.
+func (q *Queue) ForgetPlan() { q.plan = nil }
 
 // schedule places pending tasks: urgent jobs first, then the oldest.
 func (q *Queue) schedule(now time.Time) {
@@ -114,7 +51,7 @@
 	if !slices.ContainsFunc(q.order, func(j *job) bool { return j.pending > 0 }) {
 		return
 	}
-	p := q.newPlan()
+	p := q.present()
 	for _, urgent := range []bool{true, false} {
 		for _, j := range q.order {
 			if j.urgent == urgent && j.pending > 0 && !now.Before(j.retryAt) {
@@ -122,8 +59,10 @@
 			}
 		}
 	}
-	for _, id := range p.order {
-		for batch := range slices.Chunk(p.batch[id], batchTasks) {
+	batches := p.batch
+	p.batch = map[shard.ID][]rack.TaskSpec{}
+	for _, id := range slices.Sorted(maps.Keys(batches)) {
+		for batch := range slices.Chunk(batches[id], batchTasks) {
 			q.sendPlace(id, batch)
 		}
 	}
@@ -144,7 +83,7 @@
 		if !q.admit(j, 1) {
 			return
 		}
-		id, ok := q.choose(t, p)
+		id, ok := p.choose(t)
 		if !ok {
 			j.retryAt = now.Add(noRoomDelay)
 			j.reason = fmt.Sprintf("no rack has room for %s", j.record.Spec.Want)
@@ -208,74 +147,17 @@
 	}
 }
 
-// choose picks the rack for a task: services are spread over places and racks,
-// other work goes where it leaves the least room.
-func (q *Queue) choose(t *task, p *plan) (best shard.ID, ok bool) {
-	best, ok = chooseRack(t, p)
-	if !ok && len(t.avoid) > 0 {
-		// Better where it failed before than nowhere.
-		t.avoid = nil
-		return chooseRack(t, p)
-	}
-	return best, ok
-}
-
-func chooseRack(t *task, p *plan) (best shard.ID, ok bool) {
-	j := t.job
-	want := j.record.Spec.Want
-	service := j.record.Policy.Kind == config.KindService
-	var inRack, inPlace map[string]int
-	if service {
-		inRack, inPlace = spread(j)
-	}
-	var bestLeft resource.Vector
-	var bestCount [2]int
-	for _, id := range p.order {
-		if !j.record.Policy.AllowsPlace(p.place[id]) {
-			continue
-		}
-		i := p.fit(id, t)
-		if i < 0 {
-			continue
-		}
-		left := p.free[id][i].Sub(want)
-		count := [2]int{inPlace[p.place[id]], inRack[string(id)]}
-		better := !ok || placement.Tighter(left, bestLeft)
-		if service && ok && count != bestCount {
-			better = count[0] < bestCount[0] || count[0] == bestCount[0] && count[1] < bestCount[1]
-		}
-		if better {
-			best, bestLeft, bestCount, ok = id, left, count, true
-		}
-	}
-	return best, ok
-}
-
-func spread(j *job) (inRack, inPlace map[string]int) {
-	inRack, inPlace = map[string]int{}, map[string]int{}
-	for _, t := range j.tasks {
-		if t.state.occupies() && t.shard != "" {
-			inRack[string(t.shard)]++
-			inPlace[t.shard.Place()]++
-		}
-	}
-	return inRack, inPlace
-}
-
 func (q *Queue) sendPlace(id shard.ID, specs []rack.TaskSpec) {
 	q.calls++
 	req := rack.PlaceRequest{Shard: id, Team: q.Team, TeamEpoch: q.Epoch, Tasks: specs}
 	q.Place(req, func(results rack.Results, err error) {
 		q.calls--
-		q.placed(id, specs, results, err)
+		q.placed(specs, results, err)
 		q.schedule(q.Now())
 	})
 }
 
-func (q *Queue) placed(id shard.ID, specs []rack.TaskSpec, results rack.Results, err error) {
-	if results.Summary.Shard != "" {
-		q.views[id] = results.Summary
-	}
+func (q *Queue) placed(specs []rack.TaskSpec, results rack.Results, err error) {
 	outcomes := map[string]rack.TaskResult{}
 	for _, result := range results.Tasks {
 		outcomes[result.ID] = result
@@ -296,6 +178,7 @@
 		t.epoch = results.Epoch
 		q.placedOne(t, outcome, result.Worker)
 	}
+	q.learn(results.Summary)
 }
 
 func (q *Queue) placedOne(t *task, outcome rack.Outcome, name string) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,8 +45,3 @@
 	}
 	return -1
 }
-
-// Tighter reports whether a leaves less room than b.
-func Tighter(a, b resource.Vector) bool {
-	return leftover(a, resource.Vector{}) < leftover(b, resource.Vector{})
-}
