fix: give the whole of what a satisfied team leaves to the others

Cause: the water-filling took each satisfied team's part of what was left, not of the whole, so with shares 1:1 and demands of 10 and 500 % the second team was entitled to 81 % instead of 90 %. Ruled out: rounding; the error grows with the satisfied part. Change: what is left is counted as a fraction of the whole.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -28,7 +28,7 @@
 
 func TestBadInput(t *testing.T) {
 	bad := filepath.Join(t.TempDir(), "bad.ini")
-	assert.NilError(t, os.WriteFile(bad, []byte("[entry]\nname = e1\nplaec = x\n"), 0o600))
+	assert.NilError(t, os.WriteFile(bad, []byte("[entry]\nname = e1\nplase = x\n"), 0o600))
 	for _, tc := range []struct {
 		name string
 		args []string
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -37,7 +37,7 @@
 		want           []string
 	}{
 		{"unknown section", "[store]", "[shop]\nkey = 1\n[store]", []string{"section [shop]", "allowed: sections"}},
-		{"unknown key", "place =", "palce = x\nplace =", []string{"[entry]", "key palce", "allowed: keys"}},
+		{"unknown key", "place =", "plase = x\nplace =", []string{"[entry]", "key plase", "allowed: keys"}},
 		{"bad address", "127.0.0.1:7100", "store.example:7100", []string{"[store]", "key address", `"store.example:7100"`, "IP number"}},
 		{"missing address", "address = 127.0.0.1:7200", "", []string{"[host-list]", "key address", "required"}},
 		{"bad duration", "[store]", "[timing]\nright = soon\n[store]", []string{"[timing]", "key right", `"soon"`, "duration"}},
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -75,20 +75,19 @@
 		if capacity == 0 {
 			continue
 		}
-		var slope float64
+		left, slope := 1.0, 0.0
 		for j := range n {
 			weight, wanted, want := at(j)
 			fraction := float64(dim(want)) / capacity
-			if j < first {
-				capacity -= fraction * float64(dim(total))
-				continue
-			}
-			if wanted > 0 {
+			switch {
+			case j < first:
+				left -= fraction
+			case wanted > 0:
 				slope += fraction / wanted * weight
 			}
 		}
 		if slope > 0 {
-			level = min(level, capacity/float64(dim(total))/slope)
+			level = min(level, left/slope)
 		}
 	}
 	return level
