feat: relieve overused workers, tell bad workers from bad jobs; fix a release that never ended

Ruled out: dropping the dirty segment at release, which would lose results. Change: the larger of declared and reported use counts; processors are throttled, the worst task is checkpointed and stopped when memory runs out, and later tasks of the job reserve what was learned. A worker is quarantined after failures of three different jobs in a row. What was begun may be written until the release is. Conclusion: what is learned is kept a job, not yet a team and kind.

--- a/internal/entry/holding.go
+++ b/internal/entry/holding.go
@@ -160,6 +160,7 @@
 	return &job.Queue{
 		Team: team, Epoch: epoch, Log: e.Log, Checks: e.checks, Now: time.Now,
 		MayStart:   func(now time.Time) bool { return e.book.MayStartAt(id, epoch, now) },
+		MayFinish:  func(now time.Time) bool { return e.book.MayFinishAt(id, epoch, now) },
 		StoreFresh: func(now time.Time) bool { return now.Sub(e.book.ConfirmedAt()) < storeFresh },
 		Tables:     e.tables.Load,
 		Hosts: func() (workers []hostlist.Host) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -49,6 +49,8 @@
 	TaskEnded         = define(161, zerolog.DebugLevel, "task ended")
 	TaskUnknown       = define(162, zerolog.WarnLevel, "task outcome unknown")
 	TaskPreempted     = define(163, zerolog.InfoLevel, "task preempted for another team's share")
+	TaskThrottled     = define(164, zerolog.InfoLevel, "task throttled to what it declared")
+	TaskEvicted       = define(165, zerolog.WarnLevel, "task stopped because its worker ran out of memory")
 	WorkerUnreachable = define(170, zerolog.WarnLevel, "worker does not answer")
 	WorkerReachable   = define(171, zerolog.InfoLevel, "worker answers again")
 	WorkerQuarantined = define(172, zerolog.WarnLevel, "worker quarantined")
--- a/internal/job/gang.go
+++ b/internal/job/gang.go
@@ -46,6 +46,7 @@
 		if t.state != TaskPending {
 			continue
 		}
+		t.want = j.want()
 		id, ok := p.choose(t)
 		if !ok {
 			j.retryAt = now.Add(noRoomDelay)
--- a/internal/job/history.go
+++ b/internal/job/history.go
@@ -64,10 +64,10 @@
 	fits := 0
 	for _, summary := range q.Racks() {
 		for _, free := range summary.Free {
-			if j.record.Policy.AllowsPlace(summary.Place) && free.Fits(j.record.Spec.Want) {
+			if j.record.Policy.AllowsPlace(summary.Place) && free.Fits(j.want()) {
 				fits++
 			}
 		}
 	}
-	return append(lines, fmt.Sprintf("%d workers have room for %s", fits, j.record.Spec.Want))
+	return append(lines, fmt.Sprintf("%d workers have room for %s", fits, j.want()))
 }
--- a/internal/job/plan.go
+++ b/internal/job/plan.go
@@ -73,7 +73,7 @@
 
 // fit returns the worker of a rack that a task would go to, or -1.
 func (p *plan) fit(id shard.ID, t *task) int {
-	want, free := t.job.record.Spec.Want, p.index.Free(string(id))
+	want, free := t.want, p.index.Free(string(id))
 	if len(t.avoid) == 0 {
 		return placement.BestFit(free, want)
 	}
@@ -90,7 +90,7 @@
 func (p *plan) take(t *task) {
 	i := p.fit(t.shard, t)
 	if i >= 0 {
-		p.index.Take(string(t.shard), i, t.job.record.Spec.Want)
+		p.index.Take(string(t.shard), i, t.want)
 	}
 }
 
@@ -118,7 +118,7 @@
 	if len(policy.Places) > 0 {
 		allowed = func(name string) bool { return policy.AllowsPlace(p.place[shard.ID(name)]) }
 	}
-	name, _, ok := p.index.BestFit(t.job.record.Spec.Want, allowed)
+	name, _, ok := p.index.BestFit(t.want, allowed)
 	return shard.ID(name), ok
 }
 
--- a/internal/job/preempt.go
+++ b/internal/job/preempt.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		excess--
-		release -= q.Fraction(t.job.record.Spec.Want)
+		release -= q.Fraction(t.want)
 		q.preemptTask(t)
 	}
 }
@@ -49,7 +49,7 @@
 	for _, t := range q.tasks {
 		if t.state == TaskStopping {
 			count++
-			held = held.Add(t.job.record.Spec.Want)
+			held = held.Add(t.want)
 		}
 	}
 	return count, held
@@ -91,7 +91,7 @@
 func (q *Queue) preemptible() (held resource.Vector) {
 	for _, t := range q.tasks {
 		if t.state == TaskRunning && t.job.record.Policy.Preemptible && t.job.record.Policy.Idempotent {
-			held = held.Add(t.job.record.Spec.Want)
+			held = held.Add(t.want)
 		}
 	}
 	return held
--- a/internal/job/queue.go
+++ b/internal/job/queue.go
@@ -43,6 +43,8 @@
 	Now func() time.Time
 	// MayStart reports whether this process may start the team's work now.
 	MayStart func(now time.Time) bool
+	// MayFinish reports whether what was begun may still be written to the store.
+	MayFinish func(now time.Time) bool
 	// StoreFresh reports whether the store answered lately.
 	StoreFresh func(now time.Time) bool
 	// Tables returns the configuration in force.
@@ -106,6 +108,7 @@
 	reason  string
 	retryAt time.Time
 	history []Note
+	learned resource.Vector // the most that a task of the job was seen to use
 }
 
 type task struct {
@@ -122,6 +125,7 @@
 	failures  int
 	begun     bool
 	avoid     []string
+	want      resource.Vector // what the present attempt reserves
 	resume    []byte
 	startedAt time.Time
 	retryAt   time.Time
@@ -165,6 +169,7 @@
 func (q *Queue) Drain() (drained bool) {
 	q.init()
 	q.draining = true
+	q.flush(q.Now())
 	return q.calls == 0 && q.saving == 0 && !q.loading && len(q.dirty()) == 0
 }
 
@@ -251,7 +256,7 @@
 	j := &job{record: record, urgent: record.Policy.Urgent}
 	j.machine = newJobMachine()
 	for i := range record.Spec.Tasks {
-		j.tasks = append(j.tasks, &task{job: j, index: i, state: TaskPending})
+		j.tasks = append(j.tasks, &task{job: j, index: i, state: TaskPending, want: record.Spec.Want})
 	}
 	j.open, j.pending = len(j.tasks), len(j.tasks)
 	q.jobs[record.ID] = j
@@ -319,7 +324,7 @@
 // setState moves a task and keeps the counts that depend on its state.
 func (q *Queue) setState(t *task, state TaskState) {
 	before, after := t.state, state
-	want := t.job.record.Spec.Want
+	want := t.want
 	if before.occupies() && !after.occupies() {
 		q.running--
 		q.used = q.used.Sub(want)
@@ -385,6 +390,10 @@
 // Expire answers waiting look-ups of a job with its present state.
 func (q *Queue) Expire(id string) { q.wake(id) }
 
+// want returns what the next task of the job reserves: the larger of what was
+// declared and what was learned.
+func (j *job) want() resource.Vector { return j.record.Spec.Want.Max(j.learned) }
+
 func (j *job) state() State { return j.machine.state() }
 
 func (j *job) view() *View {
@@ -410,9 +419,9 @@
 		n := min(int64(j.pending), max(headroom, 0))
 		headroom -= n
 		s.Waiting += int64(j.pending)
-		s.Pending = s.Pending.Add(j.record.Spec.Want.Scale(n))
+		s.Pending = s.Pending.Add(j.want().Scale(n))
 		if j.urgent {
-			s.Urgent = s.Urgent.Add(j.record.Spec.Want.Scale(n))
+			s.Urgent = s.Urgent.Add(j.want().Scale(n))
 		}
 	}
 	return s
--- a/internal/job/queue_test.go
+++ b/internal/job/queue_test.go
@@ -46,6 +46,7 @@
 		Team: "red", Epoch: 1, Log: zerolog.Nop(), Checks: invariant.New(zerolog.Nop()),
 		Now:        func() time.Time { return *now },
 		MayStart:   func(time.Time) bool { return true },
+		MayFinish:  func(time.Time) bool { return true },
 		StoreFresh: func(time.Time) bool { return true },
 		Tables:     func() *config.Tables { return tables },
 		Hosts:      func() []hostlist.Host { return nil },
@@ -111,6 +112,25 @@
 	assert.Equal(t, f.started, 3)
 }
 
+// TestDrainFlushes checks that a queue that is being released still writes what
+// it has: otherwise it would never be drained.
+func TestDrainFlushes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := newFakeRacks(2, 2)
+	q := newTestQueue(&now, f, 100)
+	accepted := false
+	submit(t, q, now, "a", 3, &accepted)
+	submit(t, q, now, "b", 3, &accepted)
+	q.MayStart = func(time.Time) bool { return false }
+	for range 10 {
+		if q.Drain() {
+			return
+		}
+		f.step(q, &now)
+	}
+	t.Fatalf("not drained: %d unsaved segments", len(q.dirty()))
+}
+
 // TestLimitHolds checks that a team never has more placed than its limit.
 func TestLimitHolds(t *testing.T) {
 	for _, limit := range []int64{0, 1, 2, 3, 7} {
--- a/internal/job/recover.go
+++ b/internal/job/recover.go
@@ -132,6 +132,8 @@
 		return
 	}
 	t.id, t.shard, t.worker, t.epoch = row.ID, id, row.Worker, epoch
+	q.used = q.used.Sub(t.want).Add(row.Want)
+	t.want = row.Want
 	q.tasks[row.ID] = t
 	t.state = TaskRunning
 	t.startedAt = q.Now()
@@ -238,6 +240,7 @@
 	q.note(t.job, "task %d: attempt %s ended on %s as %s", t.index, ended.ID, ended.Worker, ended.State)
 	t.worker = ended.Worker
 	t.lastEnded = ended.ID
+	t.job.learned = t.job.learned.Max(ended.Usage)
 	switch {
 	case ended.State == worker.StateFinished && policy.Kind != config.KindService:
 		t.output, t.cut = cutOutput(ended.Output)
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -83,10 +83,11 @@
 		if !q.admit(j, 1) {
 			return
 		}
+		t.want = j.want()
 		id, ok := p.choose(t)
 		if !ok {
 			j.retryAt = now.Add(noRoomDelay)
-			j.reason = fmt.Sprintf("no rack has room for %s", j.record.Spec.Want)
+			j.reason = fmt.Sprintf("no rack has room for %s", j.want())
 			return
 		}
 		j.reason = ""
@@ -120,7 +121,7 @@
 		j.reason = fmt.Sprintf("the team's limit of %d running tasks is reached", limit)
 		return false
 	}
-	if !q.MayUse(q.used, j.record.Spec.Want.Scale(n), j.urgent) {
+	if !q.MayUse(q.used, j.want().Scale(n), j.urgent) {
 		j.reason = "the cell is full and the team has its share"
 		return false
 	}
@@ -141,7 +142,7 @@
 func (t *task) spec() rack.TaskSpec {
 	policy := t.job.record.Policy
 	return rack.TaskSpec{
-		ID: t.id, Job: t.job.record.ID, Index: t.index, Want: t.job.record.Spec.Want,
+		ID: t.id, Job: t.job.record.ID, Index: t.index, Want: t.want,
 		Payload: t.job.record.Spec.Payload, Resume: t.resume, Avoid: t.avoid,
 		NonIdempotent: !policy.Idempotent, LongRunning: policy.Kind == config.KindService,
 	}
--- a/internal/job/segment.go
+++ b/internal/job/segment.go
@@ -88,7 +88,7 @@
 
 // flush writes changed segments, at most one write a segment at a time.
 func (q *Queue) flush(now time.Time) {
-	if !q.open || !q.MayStart(now) || now.Sub(q.lastSave) < saveSpacing {
+	if !q.open || !q.MayFinish(now) || now.Sub(q.lastSave) < saveSpacing {
 		return
 	}
 	for _, seg := range q.segments {
@@ -135,7 +135,7 @@
 // tellSaved calls those who wait for what the store now has. Without the right
 // to the queue nobody is told: a successor may have read the store before.
 func (q *Queue) tellSaved(seg *segment) {
-	if !q.MayStart(q.Now()) {
+	if !q.MayFinish(q.Now()) {
 		return
 	}
 	waiting := seg.waiters
--- a/internal/rack/health.go
+++ b/internal/rack/health.go
@@ -3,50 +3,60 @@
 import (
 	"time"
 
+	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/worker"
 )
 
 // health tells workers that fail everything from jobs that fail everywhere:
-// only a run of failures without a success in between counts.
+// only failures of different jobs, without a success in between, count against
+// a worker.
 type health struct {
-	failures    int
+	jobs        map[string]bool // jobs that failed since the last success
 	quarantined bool
+	probation   bool // the next failure begins another quarantine
 	until       time.Time
 	backoff     time.Duration
 }
 
 const (
-	failureLimit  = 5
+	// failedJobs is how many jobs must fail in a row before a worker is quarantined.
+	failedJobs    = 3
 	probeDelay    = 5 * time.Second
 	maxProbeDelay = 5 * time.Minute
 )
 
-func (n *node) record(state worker.State, now time.Time) {
+// record counts the end of a task on a worker.
+func (r *Rack) record(n *node, job string, state worker.State, now time.Time) {
 	switch state {
 	case worker.StateFinished:
 		n.health = health{}
 	case worker.StateFailed:
-		n.health.fail(now)
+		if n.health.fail(job, now) {
+			event.WorkerQuarantined.Log(r.Log).Str("worker", n.host.Name).Dur("for", n.health.backoff).Send()
+		}
 	}
 }
 
-func (h *health) fail(now time.Time) {
-	h.failures++
-	if h.failures < failureLimit {
-		return
+// fail counts a failure and reports whether it begins a quarantine.
+func (h *health) fail(job string, now time.Time) (begins bool) {
+	if h.jobs == nil {
+		h.jobs = map[string]bool{}
+	}
+	h.jobs[job] = true
+	if h.quarantined || len(h.jobs) < failedJobs && !h.probation {
+		return false
 	}
 	h.backoff = min(max(probeDelay, 2*h.backoff), maxProbeDelay)
-	h.quarantined = true
+	h.quarantined, h.probation = true, true
 	h.until = now.Add(h.backoff)
+	return true
 }
 
-// tick ends a quarantine on probation: the next failure begins another, longer one.
-func (h *health) tick(now time.Time) {
-	if h.quarantined && now.After(h.until) {
-		h.quarantined = false
-		h.failures = failureLimit - 1
+// tick ends a quarantine; the worker is on probation until a task succeeds.
+func (h *health) tick(now time.Time) (ends bool) {
+	if !h.quarantined || now.Before(h.until) {
+		return false
 	}
+	h.quarantined = false
+	return true
 }
-
-// afterReport is called once a report has been applied.
-func (r *Rack) afterReport(*node, time.Time) {}
--- a/internal/rack/messages.go
+++ b/internal/rack/messages.go
@@ -111,6 +111,8 @@
 	State  worker.State `json:"state"`
 	Output string       `json:"output,omitempty"`
 	Resume []byte       `json:"resume,omitempty"`
+	// Usage is the most that the task was seen to use.
+	Usage resource.Vector `json:"usage,omitzero"`
 }
 
 // StateNotStarted is the state of a task whose start was proved not to have happened.
--- a/internal/rack/node.go
+++ b/internal/rack/node.go
@@ -82,13 +82,14 @@
 
 func (n *node) add(t *task) {
 	n.tasks[t.spec.ID] = t
-	n.used = n.used.Add(t.spec.Want)
+	t.reserved = t.spec.Want
+	n.used = n.used.Add(t.reserved)
 }
 
 func (n *node) remove(t *task) {
 	if _, ok := n.tasks[t.spec.ID]; ok {
 		delete(n.tasks, t.spec.ID)
-		n.used = n.used.Sub(t.spec.Want)
+		n.used = n.used.Sub(t.reserved)
 	}
 }
 
@@ -161,7 +162,9 @@
 			r.poll(n, now)
 		}
 		r.checkSilence(n, now)
-		n.health.tick(now)
+		if n.health.tick(now) {
+			event.WorkerReleased.Log(r.Log).Str("worker", n.host.Name).Send()
+		}
 	}
 	for _, t := range r.tasks {
 		r.tickTask(t, now)
@@ -248,7 +251,7 @@
 	}
 	r.applyReport(n, renewed, sentAt, report, now)
 	_ = n.machine.Fire(triggerAnswered)
-	r.afterReport(n, now)
+	r.relieve(n)
 	for _, t := range n.tasks {
 		if t.finite || t.state != taskRunning {
 			n.nextPoll = now.Add(activePoll)
@@ -296,7 +299,7 @@
 }
 
 func (r *Rack) applyRow(t *task, row worker.Task, now time.Time) {
-	t.usage = row.Usage
+	t.node.learn(t, row.Usage)
 	if row.State == worker.StateRunning {
 		t.foundHeld = false
 	}
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -108,9 +108,12 @@
 	adopted   bool
 	foundHeld bool // adopted as a lease that was granted and not started
 	stopBusy  bool
-	save      bool   // checkpoint before the stop
-	resume    []byte // progress saved by a checkpoint
-	usage     resource.Vector
+	save      bool            // checkpoint before the stop
+	resume    []byte          // progress saved by a checkpoint
+	usage     resource.Vector // as last reported
+	most      resource.Vector // the most that was reported
+	reserved  resource.Vector // what counts against the worker
+	throttled bool
 	reply     func(Outcome)
 }
 
@@ -471,9 +474,9 @@
 	t.state = taskEnded
 	t.ended = Ended{
 		ID: t.spec.ID, Job: t.spec.Job, Index: t.spec.Index,
-		Worker: t.node.host.Name, State: state, Output: output, Resume: t.resume,
+		Worker: t.node.host.Name, State: state, Output: output, Resume: t.resume, Usage: t.most,
 	}
-	t.node.record(state, now)
+	r.record(t.node, t.spec.Job, state, now)
 	event.TaskEnded.Log(r.Log).Str("task", t.spec.ID).Str("state", string(state)).Str("worker", t.node.host.Name).Send()
 	// Tasks that end in one report go out together, on the next tick.
 	r.delivery[t.team] = now
--- a/internal/shard/book.go
+++ b/internal/shard/book.go
@@ -358,6 +358,13 @@
 	return ok && held.epoch == epoch && b.MayStart(id, now)
 }
 
+// MayFinishAt reports whether what is under way in a shard may be finished: it
+// is owned since epoch, though perhaps about to be released.
+func (b *Book) MayFinishAt(id ID, epoch int64, now time.Time) bool {
+	held, ok := b.holdings[id]
+	return ok && held.epoch == epoch && !now.Before(held.waitUntil) && now.Before(b.rightEnd)
+}
+
 // Held lists the shards whose row names this process.
 func (b *Book) Held() []ID { return slices.Sorted(maps.Keys(b.holdings)) }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -117,6 +117,34 @@
 	delete(s.workers, name)
 }
 
+// Overused names a worker whose tasks use more than it has.
+func (s *Workers) Overused() error { return s.OverusedFor(0) }
+
+// OverusedFor names a worker whose tasks have used more than it has since
+// before the given duration.
+func (s *Workers) OverusedFor(d time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for name, w := range s.workers {
+		var sum resource.Vector
+		youngest := time.Time{}
+		for _, task := range w.tasks {
+			if task.state != worker.StateRunning {
+				continue
+			}
+			sum = sum.Add(task.work.Usage)
+			if task.started.After(youngest) {
+				youngest = task.started
+			}
+		}
+		if !w.capacity.Fits(sum) && now.Sub(youngest) >= d {
+			return Error.New("worker %s has %s, its tasks use %s", name, w.capacity, sum)
+		}
+	}
+	return nil
+}
+
 // RunningByTeam returns how many tasks of each team run.
 func (s *Workers) RunningByTeam() map[string]int64 {
 	s.mu.Lock()
