fix: tell racing edits apart when they write the same rows

Ruled out: comparing bytes with a time stamp, which may be equal too. Change: tables carry the ids of the latest 64 edits; an edit is accepted when its id is found.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -100,8 +100,24 @@
 	Pools   map[string]Pool  `json:"pools"`
 	Routes  map[string]Route `json:"routes"`
 	Keys    map[string]Key   `json:"keys"`
+	// Edits lists the ids of the latest edits, so that an operator whose answer
+	// was lost can tell whether the edit took effect.
+	Edits []string `json:"edits,omitempty"`
 }
 
+// editsKept bounds how many edits are remembered.
+const editsKept = 64
+
+// Stamp makes the tables the result of one more edit.
+func (t *Tables) Stamp(edit string) {
+	t.Version++
+	t.Edits = append(slices.Clone(t.Edits), edit)
+	t.Edits = t.Edits[max(0, len(t.Edits)-editsKept):]
+}
+
+// Has reports whether the tables contain an edit.
+func (t *Tables) Has(edit string) bool { return slices.Contains(t.Edits, edit) }
+
 // New returns empty tables at version 0.
 func New() *Tables {
 	return &Tables{
@@ -115,7 +131,7 @@
 // Clone returns a copy that can be edited.
 func (t *Tables) Clone() *Tables {
 	c := New()
-	c.Version = t.Version
+	c.Version, c.Edits = t.Version, t.Edits
 	maps.Copy(c.Teams, t.Teams)
 	maps.Copy(c.Pools, t.Pools)
 	maps.Copy(c.Routes, t.Routes)
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -243,9 +243,7 @@
 			return &raceError{Saw: tables.Version, Current: current.Version, Diff: config.Diff(current, tables)}
 		}
 		// Keys change by grant and withdraw alone.
-		keys := current.Keys
-		*current = *tables
-		current.Keys = keys
+		current.Teams, current.Pools, current.Routes = tables.Teams, tables.Pools, tables.Routes
 		return nil
 	})
 }
--- a/internal/entry/edit.go
+++ b/internal/entry/edit.go
@@ -59,7 +59,8 @@
 		if err := change(tables); err != nil {
 			return 0, err
 		}
-		tables.Version++
+		edit := newID()
+		tables.Stamp(edit)
 		if err := tables.Check(e.services(ctx)); err != nil {
 			return 0, err
 		}
@@ -71,7 +72,7 @@
 			return 0, &editError{fmt.Sprintf("the tables would take %d bytes, at most %d are possible", len(value), store.MaxValueBytes)}
 		}
 		_, err = e.store.Put(ctx, configKey, value, entry.Revision)
-		won, err := e.confirm(ctx, value, entry.Revision, err)
+		won, err := e.confirm(ctx, edit, value, entry.Revision, err)
 		if err != nil {
 			return 0, err
 		}
@@ -95,17 +96,18 @@
 	return entry, tables, err
 }
 
-// confirm reads back until it is certain whether a write took effect. While
+// confirm reads back until it is certain whether an edit took effect. While
 // the key still has the revision that the write expected, the write may yet
-// arrive, so it is sent again.
-func (e *Entry) confirm(ctx context.Context, value []byte, revision int64, putErr error) (won bool, err error) {
+// arrive, so it is sent again. Tables tell edits apart by their ids: two
+// operators may well write the same rows.
+func (e *Entry) confirm(ctx context.Context, edit string, value []byte, revision int64, putErr error) (won bool, err error) {
 	for {
-		entry, err := e.store.Get(ctx, configKey)
+		entry, tables, err := e.readTables(ctx)
 		switch {
-		case err == nil && string(entry.Value) == string(value):
+		case err == nil && tables.Has(edit):
 			return true, nil
 		case err == nil && entry.Revision > revision:
-			// Another edit stands there. If ours was answered, it stood before.
+			// Other edits stand there. If ours was answered, it stood before.
 			return putErr == nil, nil
 		case err == nil:
 			_, putErr = e.store.Put(ctx, configKey, value, revision)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -66,6 +66,7 @@
 	capacity resource.Vector
 	epoch    int64
 	tasks    map[string]*standinTask
+	starts   int64
 }
 
 // Workers stands in for any number of workers.
@@ -145,6 +146,13 @@
 	return nil
 }
 
+// StartsOn returns how many tasks were started on a worker.
+func (s *Workers) StartsOn(name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workers[name].starts
+}
+
 // RunningByTeam returns how many tasks of each team run.
 func (s *Workers) RunningByTeam() map[string]int64 {
 	s.mu.Lock()
@@ -347,6 +355,7 @@
 		_, _ = fmt.Sscan(string(in.Resume), &ms)
 		task.done = time.Duration(ms) * time.Millisecond
 	}
+	w.starts++
 	s.countStart(task)
 	return 200, nil
 }
