--- a/internal/cli/key.go
+++ b/internal/cli/key.go
@@ -15,7 +15,12 @@
 
 func newKeyCmd(opts *options) *cobra.Command {
 	cmd := &cobra.Command{Use: "key", Short: "Grant, withdraw and list keys"}
-	grant := &cobra.Command{
+	cmd.AddCommand(newKeyGrantCmd(opts), newKeyWithdrawCmd(opts), newKeyListCmd(opts))
+	return cmd
+}
+
+func newKeyGrantCmd(opts *options) *cobra.Command {
+	return &cobra.Command{
 		Use: "grant TEAM", Short: "Grant a key to a team; it is shown only once", Args: exactly(1),
 		Example: "  turmericspread key grant settlement",
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -36,7 +41,10 @@
 			})
 		},
 	}
-	withdraw := &cobra.Command{
+}
+
+func newKeyWithdrawCmd(opts *options) *cobra.Command {
+	return &cobra.Command{
 		Use: "withdraw ID", Short: "Withdraw a key", Args: exactly(1),
 		Example: "  turmericspread key withdraw 5f0c91ab",
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -51,7 +59,10 @@
 			})
 		},
 	}
-	list := &cobra.Command{
+}
+
+func newKeyListCmd(opts *options) *cobra.Command {
+	return &cobra.Command{
 		Use: "list", Short: "List the keys granted", Args: exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			tables := config.New()
@@ -74,6 +85,4 @@
 			})
 		},
 	}
-	cmd.AddCommand(grant, withdraw, list)
-	return cmd
 }
