fix: answer a body beyond the limit with a typed refusal

Ruled out: a larger limit alone, which moves the break; streaming all bodies. Change: bodies are read up to four times the limit and refused with a typed 413; only larger ones are cut. Conclusion: a sender far beyond the limit still sees a cut connection.

--- a/internal/e2e/path_test.go
+++ b/internal/e2e/path_test.go
@@ -143,6 +143,7 @@
 			var refused *client.Error
 			assert.Assert(t, errors.As(err, &refused), "%v", err)
 			assert.Equal(t, refused.Status, tc.status, refused.Reason)
+			assert.Equal(t, refused.Outcome, client.OutcomeNotRun, "a typed body")
 		})
 	}
 }
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -69,6 +70,20 @@
 	httpserve.JSON(c, status, errorBody{Error: "unknown", Reason: reason, Outcome: string(slot.OutcomeUnknown), Job: jobID})
 }
 
+// drainFactor is how far beyond the limit a body is still read, so that its
+// sender gets an answer in place of a broken connection.
+const drainFactor = 4
+
+// limitBody refuses bodies beyond the limit.
+func (e *Entry) limitBody(ctx context.Context, c *app.RequestContext) {
+	if len(c.Request.Body()) > e.Settings.Limits.BodyBytes {
+		refuse(c, 413, "too-large", fmt.Sprintf("the body may have at most %d bytes", e.Settings.Limits.BodyBytes))
+		c.Abort()
+		return
+	}
+	c.Next(ctx)
+}
+
 func bearer(c *app.RequestContext) string {
 	token, _ := strings.CutPrefix(string(c.Request.Header.Peek("Authorization")), "Bearer ")
 	return token
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -198,7 +198,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e.http = httpserve.New(listener, httpserve.Options{MaxBody: e.Settings.Limits.BodyBytes})
+	e.http = httpserve.New(listener, httpserve.Options{MaxBody: drainFactor * e.Settings.Limits.BodyBytes})
+	e.http.Use(e.limitBody)
 	e.routes(e.http)
 	e.spawn(func() { done <- e.http.Run() })
 	return done, nil
