--- /dev/null
+++ b/cmd/turmericspread-host/main.go
@@ -0,0 +1,18 @@
+// Command turmericspread-host runs an entry host on the users' platform. It
+// reads the settings file that TURMERICSPREAD_SETTINGS names.
+//
+// # Usage
+//
+//	TURMERICSPREAD_SETTINGS=host.ini turmericspread-host
+package main
+
+import (
+	"context"
+	"os"
+
+	"turmericspread.org/turmericspread/platform"
+)
+
+func main() {
+	os.Exit(platform.Main(context.Background(), os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cell/advice.go
@@ -0,0 +1,147 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// advice is what is known of the workers that may run a step. Which they are
+// does not change; the tickets that prove it run out.
+type advice struct {
+	known   map[string]bool // by worker: whether it may run the step
+	tickets map[string]ticket
+	busy    bool
+	retryAt time.Duration
+}
+
+type ticket struct {
+	value string
+	born  int64
+	until time.Duration
+}
+
+// ticketMargin is the least validity with which a ticket is used: the record
+// and the start come first.
+const ticketMargin = 200 * time.Millisecond
+
+// permits reports whether there is a ticket for the worker's present life.
+func (a *advice) permits(n *node, now time.Duration) bool {
+	t, ok := a.tickets[n.w.ID]
+	return ok && now+ticketMargin < t.until && t.born == n.born
+}
+
+func (a *advice) ticket(n *node) string { return a.tickets[n.w.ID].value }
+
+// drop forgets a ticket that a worker has refused.
+func (a *advice) drop(worker string) { delete(a.tickets, worker) }
+
+const (
+	// adviceMost is the largest number of workers in one question.
+	adviceMost = 100
+	// adviceLeast is the smallest number worth asking about.
+	adviceLeast = 6
+	// adviceShare is the share of workers expected to be allowed.
+	adviceShare = 0.35
+	// adviceSpare multiplies the number of workers that would be enough: room
+	// changes while the answer is on its way.
+	adviceSpare = 1.5
+	// adviceRetry is the pause after a question that was refused.
+	adviceRetry = 100 * time.Millisecond
+)
+
+// askAdvice asks about workers with room for tasks of the step. Workers known
+// to be allowed go first, those known not to be are left out.
+func (o *Owner) askAdvice(s *step, nodes []*node, waiting int, now time.Duration) {
+	a := &s.advice
+	if a.busy || now < a.retryAt || o.advising >= o.Advisers() {
+		return
+	}
+	names, lives := o.adviceCandidates(s, nodes, waiting, now)
+	if len(names) == 0 {
+		return
+	}
+	policy := s.job.queue.Advice
+	cost := policy.Decide + time.Duration(len(names))*policy.Each
+	order := work.AdviceOrder{Step: work.TaskRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.number}.StepName(), Workers: names}
+	a.busy = true
+	o.advising++
+	o.Counters.AdviceAsked++
+	o.Advise(order, cost, func(report work.AdviceReport, err error) {
+		a.busy = false
+		o.advising--
+		o.changed = true
+		if err != nil {
+			o.Counters.AdviceFailed++
+			a.retryAt = o.Now() + adviceRetry
+			event.CellAdviceFailed.Log(o.Log).Str("step", order.Step).Int("workers", len(names)).Err(err).Send()
+			return
+		}
+		a.learn(names, lives, report, min(report.Valid, policy.Valid), o.Now())
+		event.CellAdvice.Log(o.Log).Str("step", order.Step).Int("workers", len(names)).Int("good", len(report.Good)).
+			Dur("took", o.Now()-now).Send()
+	})
+}
+
+func (a *advice) learn(names []string, lives map[string]int64, report work.AdviceReport, valid, now time.Duration) {
+	if a.known == nil {
+		a.known = map[string]bool{}
+		a.tickets = map[string]ticket{}
+	}
+	for _, name := range names {
+		a.known[name] = false
+	}
+	for _, good := range report.Good {
+		a.known[good.Worker] = true
+		a.tickets[good.Worker] = ticket{value: good.Ticket, born: lives[good.Worker], until: now + valid}
+	}
+}
+
+// adviceCandidates picks whom to ask about: as few as are likely to be enough.
+func (o *Owner) adviceCandidates(s *step, nodes []*node, waiting int, now time.Duration) (names []string, lives map[string]int64) {
+	type candidate struct {
+		node  *node
+		known bool
+		fits  int64
+	}
+	a := &s.advice
+	var list []candidate
+	for _, n := range nodes {
+		good, known := a.known[n.w.ID]
+		if known && !good || !o.mayRun(s, n) || a.permits(n, now) {
+			continue
+		}
+		fits := min(n.free().Count(s.tasks[0].want()), int64(n.most(s)))
+		if fits <= 0 {
+			continue
+		}
+		list = append(list, candidate{n, known, fits})
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int {
+		if a.known != b.known {
+			if a.known {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.fits, a.fits)
+	})
+	lives = map[string]int64{}
+	var enough float64
+	for _, c := range list {
+		if len(names) >= adviceMost || len(names) >= adviceLeast && enough >= adviceSpare*float64(waiting) {
+			break
+		}
+		names = append(names, c.node.w.ID)
+		lives[c.node.w.ID] = c.node.born
+		share := adviceShare
+		if c.known {
+			share = 1
+		}
+		enough += share * float64(c.fits)
+	}
+	return names, lives
+}
--- /dev/null
+++ b/internal/cell/owner.go
@@ -0,0 +1,208 @@
+// Package cell decides about jobs and the workers that run them. One process
+// owns a cell at a time: it adopts what runs, places what waits, records what
+// it is about to do before it does it, and keeps the workers' leases renewed.
+//
+// An owner never relies on being the only one. Each of its orders carries a
+// fence that is higher than any of its predecessors', each write to the store
+// is conditional on the ownership row, and a worker is given work only after it
+// has answered under the owner's own fence. docs/design/fencing.md has the
+// argument.
+//
+// # Usage
+//
+//	o := cell.New()
+//	o.Epoch, o.Bounds, o.Tables = epoch, bounds, tables
+//	o.Start, o.Stop, o.Hold, o.Save = ... // ports to the outside
+//	o.Restore(jobs)
+//	o.SetWorkers(workers)
+//	o.Tick()
+//
+// All methods run on one goroutine, and the ports call back on it.
+package cell
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/sched"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// Bounds are the platform's and the users' figures that the owner relies on.
+type Bounds struct {
+	MaxHold    time.Duration // longest lease that a worker grants
+	Stop       time.Duration // longest time that a stopped run takes to end
+	Gang       time.Duration // how long a member of a gang waits for the others
+	Notice     time.Duration // least time between two disruptions of a task with an availability budget
+	Harm       time.Duration // how long a serving task may be disturbed
+	Retention  time.Duration // how long an ended job can be asked for
+	FarFactor  float64       // slow-down of a task away from its data
+	StoreGrace time.Duration // how long a worker may be missing from the list after an outage of the store
+}
+
+// Write is one record to be saved.
+type Write struct {
+	Job      string
+	Revision int64 // of the record it replaces; 0: none
+	Data     []byte
+}
+
+// Saved is the outcome of one Write.
+type Saved struct {
+	Revision int64 // of the record now known to be in the store
+	OK       bool  // the write took effect
+}
+
+// Owner is the state of the cell's owner. Set the exported fields before use.
+type Owner struct {
+	Epoch  int64
+	Log    zerolog.Logger
+	Bounds Bounds
+	// Advisers bounds the questions to the adviser under way.
+	Advisers func() int
+	// Now reads a steady clock that also counts suspensions.
+	Now func() time.Duration
+	// Wall reads the time of day since 1970.
+	Wall func() time.Duration
+	// Tables returns the configuration in force.
+	Tables func() *work.Tables
+	// StoreUp reports whether the store answered the last call.
+	StoreUp func() bool
+	// StoreLost returns how long ago the store last failed to answer.
+	StoreLost func() time.Duration
+	// Deposed is called once a higher fence or another owner was seen.
+	Deposed func(reason string)
+
+	Start  func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error))
+	Stop   func(w work.Worker, order work.RunOrder, done func(work.OrderReport, error))
+	Hold   func(w work.Worker, order work.HoldOrder, done func(work.HoldReport, error))
+	Pace   func(w work.Worker, order work.RunOrder, percent int, done func(work.OrderReport, error))
+	Advise func(order work.AdviceOrder, cost time.Duration, done func(work.AdviceReport, error))
+	// Save writes records; all of a batch take effect or none does. A call
+	// without an outcome for sure reports OK false and the old revision.
+	Save func(batch []Write, done func(results []Saved))
+	// Forget removes all that is stored of jobs that ended long ago.
+	Forget func(ids []string, done func(ok bool))
+
+	Counters Counters
+
+	jobs       map[string]*job
+	active     []*job // not terminal, by age
+	nodes      map[string]*node
+	usage      map[string]resource.Vector // by team
+	rates      map[string]*sched.Allowance
+	settling   time.Duration // until when starts wait for unreached workers
+	dirty      map[*job]bool
+	saves      int
+	changed    bool // a scheduling pass is due
+	nextPass   time.Duration
+	nextScan   time.Duration
+	nextForget time.Duration
+	advising   int // questions to the adviser under way
+	ratios     map[string]*ratio
+	deposed    bool
+	draining   bool
+}
+
+// Counters count what the owner did; they feed the metrics.
+type Counters struct {
+	Starts, StartsRefused, StartsUnknown, Stops, Holds, HoldsMissed int64
+	EndsDone, EndsFailed, EndsOther, Lost, Preempted, Copies        int64
+	Saves, SavesFailed, AdviceAsked, AdviceFailed                   int64
+}
+
+// New returns an Owner without jobs and workers.
+func New() *Owner {
+	return &Owner{
+		Log:    zerolog.Nop(),
+		jobs:   map[string]*job{},
+		nodes:  map[string]*node{},
+		usage:  map[string]resource.Vector{},
+		rates:  map[string]*sched.Allowance{},
+		dirty:  map[*job]bool{},
+		ratios: map[string]*ratio{},
+	}
+}
+
+// scanPeriod is the time between two looks at all workers and jobs for what is
+// only due by time.
+const scanPeriod = 50 * time.Millisecond
+
+// passPeriod bounds how often waiting work is looked at; changes in between
+// are handled together.
+const passPeriod = 8 * time.Millisecond
+
+// Tick does what is due.
+func (o *Owner) Tick() {
+	if o.deposed {
+		return
+	}
+	now := o.Now()
+	if now >= o.nextScan {
+		o.nextScan = now + scanPeriod
+		o.scanNodes(now)
+		o.scanJobs(now)
+	}
+	if o.changed && now >= o.nextPass {
+		o.changed = false
+		o.nextPass = now + passPeriod
+		o.schedule(now)
+	}
+	o.flush()
+}
+
+// depose ends all decisions: nothing is ordered or written any more.
+func (o *Owner) depose(reason string) {
+	if o.deposed {
+		return
+	}
+	o.deposed = true
+	o.Deposed(reason)
+}
+
+// Deactivate ends all decisions, as for a planned hand-over.
+func (o *Owner) Deactivate() { o.deposed = true }
+
+// Drain stops starting new work; Idle tells when all is recorded.
+func (o *Owner) Drain() { o.draining = true }
+
+// Idle reports whether no record is waiting to be written.
+func (o *Owner) Idle() bool { return o.saves == 0 && len(o.dirty) == 0 }
+
+// Active reports whether the owner decides.
+func (o *Owner) Active() bool { return !o.deposed }
+
+// State returns a job's state; ok is false if the job is not known here.
+func (o *Owner) State(id string) (state work.State, team string, ok bool) {
+	j, ok := o.jobs[id]
+	if !ok {
+		return "", "", false
+	}
+	return j.shown(), j.spec.Team, true
+}
+
+// Pending returns the number of a queue's accepted jobs that have not begun.
+func (o *Owner) Pending(queue string) (n int) {
+	for _, j := range o.active {
+		if j.spec.Queue == queue && !j.begun && !j.state.Terminal() && !j.cancelled {
+			n++
+		}
+	}
+	return n
+}
+
+// Jobs returns the number of jobs known and of those not ended.
+func (o *Owner) Jobs() (known, open int) { return len(o.jobs), len(o.active) }
+
+// Workers returns the number of workers known and of those that take work.
+func (o *Owner) Workers() (known, usable int) {
+	now := o.Now()
+	for _, n := range o.nodes {
+		if n.usable(now) {
+			usable++
+		}
+	}
+	return len(o.nodes), usable
+}
--- /dev/null
+++ b/internal/cell/record.go
@@ -0,0 +1,137 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+const (
+	// saveBatch bounds the records of one write: each needs a condition and a
+	// value, and the ownership row needs a condition.
+	saveBatch = 14
+	// saveParallel bounds the writes under way.
+	saveParallel = 6
+	// saveRetry is the time until a write that failed is tried again.
+	saveRetry = 150 * time.Millisecond
+	// saveBytes bounds the values of one write.
+	saveBytes = 512 << 10
+)
+
+// touch notes a change of a job that has to be recorded.
+func (o *Owner) touch(j *job) {
+	j.version++
+	o.dirty[j] = true
+}
+
+// flush writes the records of changed jobs, several in one write.
+func (o *Owner) flush() {
+	if o.deposed || len(o.dirty) == 0 {
+		return
+	}
+	now := o.Now()
+	var ready []*job
+	for j := range o.dirty {
+		if !j.saving && now >= j.retryAt {
+			ready = append(ready, j)
+		}
+	}
+	slices.SortFunc(ready, func(a, b *job) int {
+		if c := cmp.Compare(a.queue.Priority, b.queue.Priority); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.spec.Accepted, b.spec.Accepted)
+	})
+	for len(ready) > 0 && o.saves < saveParallel {
+		ready = ready[o.saveSome(ready):]
+	}
+}
+
+// saveSome writes the first records of ready and returns how many.
+func (o *Owner) saveSome(ready []*job) (n int) {
+	var batch []Write
+	var jobs []*job
+	var versions []int64
+	size := 0
+	for _, j := range ready {
+		data, err := work.EncodeProgress(o.progress(j))
+		if err != nil {
+			event.CellRecordFailed.Log(o.Log).Str("job", j.spec.ID).Err(err).Send()
+			delete(o.dirty, j)
+			n++
+			continue
+		}
+		if len(batch) > 0 && (len(batch) >= saveBatch || size+len(data) > saveBytes) {
+			break
+		}
+		size += len(data)
+		batch = append(batch, Write{Job: j.spec.ID, Revision: j.revision, Data: data})
+		jobs = append(jobs, j)
+		versions = append(versions, j.version)
+		j.saving = true
+		delete(o.dirty, j)
+		n++
+	}
+	if len(batch) == 0 {
+		return n
+	}
+	o.saves++
+	o.Counters.Saves++
+	o.Save(batch, func(results []Saved) {
+		o.saves--
+		for i, j := range jobs {
+			o.saveDone(j, versions[i], results[i])
+		}
+	})
+	return n
+}
+
+func (o *Owner) saveDone(j *job, version int64, result Saved) {
+	j.saving = false
+	j.revision = result.Revision
+	if !result.OK {
+		o.Counters.SavesFailed++
+		j.retryAt = o.Now() + saveRetry
+		o.dirty[j] = true
+		if !o.StoreUp() {
+			o.sendPlanned(j, version)
+		}
+		return
+	}
+	j.saved = version
+	if j.version > version {
+		o.dirty[j] = true
+	}
+	o.sendPlanned(j, version)
+	if j.state.Terminal() {
+		o.changed = true
+	}
+}
+
+// progress returns what is stored of a job.
+func (o *Owner) progress(j *job) *work.Progress {
+	p := &work.Progress{Begun: j.begun, Epoch: o.Epoch, Counter: j.version}
+	if j.state.Terminal() {
+		p.State, p.Ended = j.state, j.endedAt.Milliseconds()
+	}
+	for _, t := range j.tasks {
+		if t.run == 0 && len(t.runs) == 0 {
+			continue
+		}
+		row := work.TaskRow{Number: t.number, Run: t.run, Done: t.done, Failures: t.failures}
+		if t.step.spec.Gang {
+			row.Failures = t.step.failures
+		}
+		if !t.done && !j.over() {
+			row.Checkpoint = t.checkpoint
+		}
+		for _, r := range t.runs {
+			row.Active = append(row.Active, work.Assignment{Run: r.number, Worker: r.node.w.ID, Born: r.born})
+		}
+		p.Rows = append(p.Rows, row)
+	}
+	return p
+}
--- /dev/null
+++ b/internal/cell/schedule.go
@@ -0,0 +1,346 @@
+package cell
+
+import (
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/sched"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// group is the waiting tasks of a step.
+type group struct {
+	step  *step
+	tasks []*task
+	rank  sched.Rank
+}
+
+// servingPriority ranks tasks that serve users all the time before all queues:
+// while one is away its users are not served at all.
+const servingPriority = -1
+
+// schedule places what waits, best rank first.
+func (o *Owner) schedule(now time.Duration) {
+	if o.draining || now < o.settling && !o.allHeard() {
+		o.changed = true
+		return
+	}
+	groups := o.waiting(now)
+	if len(groups) == 0 {
+		return
+	}
+	pools := o.usableNodes(now)
+	for i := range groups {
+		g := &groups[i]
+		nodes := pools[g.step.job.queue.Service]
+		if len(nodes) == 0 {
+			continue
+		}
+		if g.step.spec.Gang {
+			o.placeGang(g, nodes, now)
+		} else {
+			o.placeEach(g, nodes, now)
+		}
+	}
+}
+
+// allHeard reports whether every listed worker has answered under this owner's fence.
+func (o *Owner) allHeard() bool {
+	for _, n := range o.nodes {
+		if n.listed && !n.heard {
+			return false
+		}
+	}
+	return true
+}
+
+func (o *Owner) usableNodes(now time.Duration) (pools map[string][]*node) {
+	pools = map[string][]*node{}
+	for _, n := range o.nodes {
+		if n.usable(now) {
+			pools[n.w.Pool] = append(pools[n.w.Pool], n)
+		}
+	}
+	for _, nodes := range pools {
+		slices.SortFunc(nodes, func(a, b *node) int {
+			switch {
+			case a.w.ID < b.w.ID:
+				return -1
+			case a.w.ID > b.w.ID:
+				return 1
+			}
+			return 0
+		})
+	}
+	return pools
+}
+
+// waiting lists the steps that have tasks to start, best rank first.
+func (o *Owner) waiting(now time.Duration) (groups []group) {
+	wall := o.Wall()
+	for _, j := range o.active {
+		if j.over() {
+			continue
+		}
+		for _, s := range j.steps {
+			if s.done+s.running >= len(s.tasks) || !s.open(wall) {
+				continue
+			}
+			g := group{step: s, rank: o.rank(s)}
+			for _, t := range s.tasks {
+				if t.waiting(now) {
+					g.tasks = append(g.tasks, t)
+				}
+			}
+			if len(g.tasks) > 0 {
+				groups = append(groups, g)
+			}
+		}
+	}
+	slices.SortStableFunc(groups, func(a, b group) int { return sched.Compare(a.rank, b.rank) })
+	return groups
+}
+
+func (o *Owner) rank(s *step) sched.Rank {
+	j := s.job
+	begin := max(j.spec.Accepted, j.spec.Due(s.occurrence))
+	rank := sched.Rank{
+		Priority: j.queue.Priority,
+		Excess:   j.excess,
+		Deadline: begin + j.queue.Target + time.Duration(float64(o.chain(j))*max(j.queue.Stretch, 1)),
+	}
+	if s.spec.LongRunning {
+		rank.Priority = servingPriority
+	}
+	return rank
+}
+
+// chain returns the longest chain of estimated work through the steps of a job.
+func (o *Owner) chain(j *job) (longest time.Duration) {
+	ends := make([]time.Duration, len(j.spec.Steps))
+	for i := range j.spec.Steps {
+		s := &j.spec.Steps[i]
+		var begin time.Duration
+		for _, before := range s.After {
+			begin = max(begin, ends[before])
+		}
+		ends[i] = begin + s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// rooms describes the workers that may run the step's tasks.
+func (o *Owner) rooms(s *step, nodes []*node, now time.Duration) (rooms []sched.Room, usable []*node) {
+	advised := s.job.queue.Advice != nil
+	for _, n := range nodes {
+		if !o.mayRun(s, n) || advised && !s.advice.permits(n, now) {
+			continue
+		}
+		room := sched.Room{Free: n.free(), Rack: n.w.Rack, Most: n.most(s), Penalty: o.penalty(s, n)}
+		rooms = append(rooms, room)
+		usable = append(usable, n)
+	}
+	return rooms, usable
+}
+
+// mayRun reports whether the step's constraints allow the worker.
+func (o *Owner) mayRun(s *step, n *node) bool {
+	return s.spec.Label == "" || n.w.HasLabel(s.spec.Label)
+}
+
+// penalty estimates the slow-down of the step's tasks on a worker.
+func (o *Owner) penalty(s *step, n *node) (p float64) {
+	if s.spec.Rack != "" && s.spec.Rack != n.w.Rack {
+		p += max(o.Bounds.FarFactor-1, 0)
+	}
+	return p + o.slowness(n)
+}
+
+func (n *node) free() resource.Vector { return n.w.Capacity.Sub(n.used) }
+
+// most returns how many tasks of the step the worker may still take.
+func (n *node) most(s *step) int {
+	const unbounded = 1 << 20
+	if n.probation && len(n.runs) > 0 {
+		return 0
+	}
+	if n.probation {
+		return 1
+	}
+	if s.spec.MaxPerWorker == 0 {
+		return unbounded
+	}
+	here := 0
+	for _, r := range n.runs {
+		if r.task.step == s {
+			here++
+		}
+	}
+	return s.spec.MaxPerWorker - here
+}
+
+// placeEach starts as many tasks of the group as find room.
+func (o *Owner) placeEach(g *group, nodes []*node, now time.Duration) {
+	s := g.step
+	rooms, usable := o.rooms(s, nodes, now)
+	placed := 0
+	for _, t := range g.tasks {
+		if !o.withinMaximum(s, 1) {
+			return
+		}
+		i := o.choose(rooms, usable, t)
+		if i < 0 {
+			break
+		}
+		rooms[i].Free = rooms[i].Free.Sub(t.want())
+		rooms[i].Most--
+		o.plan(t, usable[i], o.nextRun(t), s.advice.ticket(usable[i]))
+		placed++
+	}
+	if placed < len(g.tasks) && s.job.queue.Advice != nil {
+		o.askAdvice(s, nodes, len(g.tasks)-placed, now)
+	}
+}
+
+// want returns what the task takes of a worker's capacity.
+func (t *task) want() resource.Vector {
+	want := t.step.spec.Want
+	if t.step.spec.Fills {
+		want.MilliCores = 0
+	}
+	return want
+}
+
+// choose picks a worker for t and avoids, if it can, those on which it failed.
+func (o *Owner) choose(rooms []sched.Room, usable []*node, t *task) int {
+	if len(t.avoid) > 0 {
+		kept := slices.Clone(rooms)
+		for i, n := range usable {
+			if slices.Contains(t.avoid, n.w.ID) {
+				kept[i].Most = 0
+			}
+		}
+		if i := sched.Choose(kept, t.want()); i >= 0 {
+			return i
+		}
+	}
+	return sched.Choose(rooms, t.want())
+}
+
+// withinMaximum reports whether the team may run count more tasks of the step.
+func (o *Owner) withinMaximum(s *step, count int) bool {
+	team, ok := o.Tables().Teams[s.job.spec.Team]
+	if !ok {
+		return true
+	}
+	used := o.usage[team.Name].Add(s.spec.Want.Scale(int64(count)))
+	over := func(used, most int64) bool { return most > 0 && used > most }
+	return !over(used.MilliCores, team.Maximum.MilliCores) && !over(used.MemoryMB, team.Maximum.MemoryMB) &&
+		!over(used.Accelerators, team.Maximum.Accelerators)
+}
+
+// placeGang starts all tasks of a gang with one run number, or none.
+func (o *Owner) placeGang(g *group, nodes []*node, now time.Duration) {
+	s := g.step
+	if len(g.tasks) < len(s.tasks)-s.done || !o.withinMaximum(s, len(g.tasks)) {
+		return
+	}
+	rooms, usable := o.rooms(s, nodes, now)
+	picks := sched.ChooseAll(rooms, g.tasks[0].want(), len(g.tasks), sched.Spread{SameRack: s.spec.RackSensitive})
+	if picks == nil {
+		if s.job.queue.Advice != nil {
+			o.askAdvice(s, nodes, len(g.tasks), now)
+		}
+		return
+	}
+	var number int64
+	for _, t := range g.tasks {
+		number = max(number, o.nextRun(t))
+	}
+	for i, t := range g.tasks {
+		o.plan(t, usable[picks[i]], number, s.advice.ticket(usable[picks[i]]))
+	}
+}
+
+// evacuate stops, on workers that are about to leave, what has to go on elsewhere.
+func (o *Owner) evacuate(now time.Duration) {
+	for _, n := range o.nodes {
+		if !n.listed || !n.w.Draining || !n.heard {
+			continue
+		}
+		for _, r := range runsOf(n) {
+			if !r.stopping && r.state == runLive && o.shouldLeave(r, now) {
+				o.stopRun(r, "the worker is draining")
+			}
+		}
+	}
+}
+
+// shouldLeave reports whether a run on a draining worker has to be stopped. A
+// serving task moves at once; one with checkpoints works until its last
+// progress can still be saved; any other may finish in time.
+func (o *Owner) shouldLeave(r *run, now time.Duration) bool {
+	spec := r.task.step.spec
+	switch {
+	case spec.LongRunning:
+		return true
+	case spec.Checkpointing:
+		return now+o.Bounds.Stop+evacuationMargin >= r.node.leaveAt
+	}
+	return false
+}
+
+// evacuationMargin covers the delay of an order and of the look that lists its end.
+const evacuationMargin = 400 * time.Millisecond
+
+// paceNode keeps the tasks that fill a worker from disturbing those that serve.
+func (o *Owner) paceNode(n *node, now time.Duration) {
+	worst := 0.0
+	var fills []*run
+	for _, r := range n.runs {
+		spec := r.task.step.spec
+		switch {
+		case r.state != runLive || r.stopping:
+		case spec.Fills:
+			fills = append(fills, r)
+		case spec.LongRunning && spec.TailTarget > 0:
+			worst = max(worst, float64(r.figure)/float64(spec.TailTarget.Milliseconds()))
+		}
+	}
+	if len(fills) == 0 {
+		return
+	}
+	for _, r := range fills {
+		if r.paceBusy || now-r.pacedAt < pacePeriod && r.pace < 100 {
+			continue
+		}
+		percent := sched.Pace(r.pace, worst)
+		if percent == r.pace {
+			continue
+		}
+		o.pace(r, percent, worst, now)
+	}
+}
+
+// pacePeriod is the time between two changes of one task's pace: the figures
+// that workers report are of the last half second.
+const pacePeriod = 500 * time.Millisecond
+
+func (o *Owner) pace(r *run, percent int, worst float64, now time.Duration) {
+	r.paceBusy = true
+	r.pacedAt = now
+	event.CellPace.Log(o.Log).Str("task", r.task.ref().String()).Str("worker", r.node.w.ID).Int("percent", percent).
+		Int("before", r.pace).Float64("tail-of-target", worst).Send()
+	order := work.RunOrder{Task: r.task.ref(), Run: r.number, Fence: r.node.fence(o.Epoch)}
+	o.Pace(r.node.w, order, percent, func(_ work.OrderReport, err error) {
+		r.paceBusy = false
+		if err == nil {
+			r.pace = percent
+			return
+		}
+		event.CellPaceFailed.Log(o.Log).Str("task", order.Task.String()).Err(err).Send()
+	})
+}
--- /dev/null
+++ b/internal/host/calls.go
@@ -0,0 +1,370 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/kvstore"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// Names of the calls between hosts.
+const (
+	callBeat     = "beat"
+	callStore    = "store"
+	callJob      = "job"
+	callCancel   = "cancel"
+	callState    = "state"
+	callPending  = "pending"
+	callAdvise   = "advise"
+	callHandOver = "hand-over"
+)
+
+type beatRequest struct {
+	Name     string
+	Instance string
+	Power    float64
+}
+
+type beatReply struct {
+	Instance string
+	Owner    bool // the answering host owns the cell
+}
+
+type storeReply struct {
+	Response kvstore.Response
+	Failure  string // one of the failures below; empty: none
+}
+
+// Failures of a relayed call to the store.
+const (
+	failureRefused   = "refused"
+	failureUnknown   = "unknown"
+	failureCompacted = "compacted"
+)
+
+type jobRequest struct{ Job []byte }
+
+type cancelRequest struct{ ID string }
+
+type ownerReply struct{ Owner bool }
+
+type stateRequest struct{ ID string }
+
+type stateReply struct {
+	Owner bool
+	Known bool
+	State work.State
+	Team  string
+}
+
+type pendingRequest struct{ Queue string }
+
+type pendingReply struct {
+	Owner   bool
+	Pending int
+}
+
+type handOverRequest struct {
+	Owner    ownerRow
+	Revision int64
+}
+
+type handOverReply struct{ Taken bool }
+
+func (h *Host) mux() *peer.Mux {
+	mux := peer.NewMux()
+	peer.Handle(mux, callBeat, h.onBeat)
+	peer.Handle(mux, callStore, h.onStore)
+	peer.Handle(mux, callJob, h.onJob)
+	peer.Handle(mux, callCancel, h.onCancel)
+	peer.Handle(mux, callState, h.onState)
+	peer.Handle(mux, callPending, h.onPending)
+	peer.Handle(mux, callAdvise, h.onAdvise)
+	peer.Handle(mux, callHandOver, h.onHandOver)
+	return mux
+}
+
+func (h *Host) onBeat(ctx context.Context, in *beatRequest) (out *beatReply, err error) {
+	out = &beatReply{Instance: h.instance}
+	err = h.loop.Call(ctx, func() {
+		out.Owner = h.own != nil
+		h.heard[in.Instance] = time.Now()
+	})
+	return out, err
+}
+
+// onStore carries out a call to the store for a host that the store turns away.
+func (h *Host) onStore(ctx context.Context, in *kvstore.Request) (out *storeReply, err error) {
+	timeout := directTimeout
+	if in.Watch != nil {
+		timeout += in.Watch.Wait
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, callErr := h.DirectStore(callCtx, *in)
+	out = &storeReply{Response: resp}
+	switch {
+	case callErr == nil:
+	case errs.Is(callErr, kvstore.ErrCompacted):
+		out.Failure = failureCompacted
+	case kvstore.NothingDone(callErr):
+		out.Failure = failureRefused
+	default:
+		out.Failure = failureUnknown
+	}
+	return out, nil
+}
+
+// relayTries bounds the hosts that are asked to relay one call.
+const relayTries = 2
+
+// storeThroughPeer carries out req through other hosts.
+func (h *Host) storeThroughPeer(ctx context.Context, req kvstore.Request) (resp kvstore.Response, err error) {
+	err = kvstore.ErrUnreachable
+	for _, address := range h.relayAddresses() {
+		timeout := directTimeout
+		if req.Watch != nil {
+			timeout += req.Watch.Wait
+		}
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		reply, callErr := peer.Call[kvstore.Request, storeReply](callCtx, h.peers, address, callStore, &req)
+		cancel()
+		switch {
+		case isUnreachable(callErr):
+			continue
+		case callErr != nil || reply.Failure == failureUnknown:
+			err = kvstore.ErrUnknown
+			if req.Txn != nil {
+				return kvstore.Response{}, err
+			}
+		case reply.Failure == failureCompacted:
+			return kvstore.Response{}, kvstore.ErrCompacted
+		case reply.Failure == failureRefused:
+			err = kvstore.ErrRefused
+		default:
+			return reply.Response, nil
+		}
+	}
+	return kvstore.Response{}, err
+}
+
+// relayAddresses picks hosts to relay a call: a few members in turn, or the
+// seeds while no member is known.
+func (h *Host) relayAddresses() (list []string) {
+	v := h.view.Load()
+	for _, m := range v.members {
+		if m.Instance != h.instance && m.Address != h.PeerAddress {
+			list = append(list, m.Address)
+		}
+	}
+	for _, seed := range h.Seeds {
+		if len(v.members) == 0 && seed != h.PeerAddress {
+			list = append(list, seed)
+		}
+	}
+	if len(list) <= relayTries {
+		return list
+	}
+	first := int(h.stats.relayTurn.Add(1)) % len(list)
+	for i := range relayTries {
+		list = append(list, list[(first+i)%len(list)])
+	}
+	return list[len(list)-relayTries:]
+}
+
+// refusedConnection reports whether err proves that no process listens at an
+// address.
+func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+func isUnreachable(err error) bool {
+	return err != nil && (refusedConnection(err) || peer.ErrUnreachable.Has(err))
+}
+
+func (h *Host) onJob(ctx context.Context, in *jobRequest) (out *ownerReply, err error) {
+	job, err := work.DecodeJob(in.Job)
+	if err != nil {
+		return nil, err
+	}
+	out = &ownerReply{}
+	err = h.loop.Call(ctx, func() { out.Owner = h.acceptHere(job) })
+	return out, err
+}
+
+func (h *Host) acceptHere(job *work.Job) (owner bool) {
+	if h.own == nil {
+		return false
+	}
+	h.own.Accept(job)
+	h.own.Tick()
+	return true
+}
+
+func (h *Host) onCancel(ctx context.Context, in *cancelRequest) (out *ownerReply, err error) {
+	out = &ownerReply{}
+	err = h.loop.Call(ctx, func() { out.Owner = h.cancelHere(in.ID) })
+	return out, err
+}
+
+func (h *Host) cancelHere(id string) (owner bool) {
+	if h.own == nil {
+		return false
+	}
+	h.own.Cancel(id)
+	h.own.Tick()
+	return true
+}
+
+func (h *Host) onState(ctx context.Context, in *stateRequest) (out *stateReply, err error) {
+	out = &stateReply{}
+	err = h.loop.Call(ctx, func() { *out = h.stateHere(in.ID) })
+	return out, err
+}
+
+func (h *Host) stateHere(id string) (reply stateReply) {
+	if h.own == nil {
+		return stateReply{}
+	}
+	reply.Owner = true
+	reply.State, reply.Team, reply.Known = h.own.State(id)
+	return reply
+}
+
+func (h *Host) onPending(ctx context.Context, in *pendingRequest) (out *pendingReply, err error) {
+	out = &pendingReply{}
+	err = h.loop.Call(ctx, func() { *out = h.pendingHere(in.Queue) })
+	return out, err
+}
+
+func (h *Host) pendingHere(queue string) pendingReply {
+	if h.own == nil {
+		return pendingReply{}
+	}
+	return pendingReply{Owner: true, Pending: h.own.Pending(queue)}
+}
+
+func (h *Host) onAdvise(ctx context.Context, in *work.AdviceOrder) (out *work.AdviceReport, err error) {
+	report, err := h.Targets.Advise(ctx, *in)
+	return &report, err
+}
+
+// adviser spreads the questions to the placement adviser over the hosts: it
+// answers each host's questions in turn, so one host alone would wait.
+type adviser struct {
+	mu   sync.Mutex
+	busy map[string]time.Duration // by address: expected time of what is under way
+}
+
+// relayCost is the weight of a question through another host, so that a host
+// asks itself first.
+const relayCost = 3 * time.Millisecond
+
+func (a *adviser) take(addresses []string, cost time.Duration) (best string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var least time.Duration
+	for i, address := range addresses {
+		load := a.busy[address]
+		if i > 0 {
+			load += relayCost
+		}
+		if best == "" || load < least {
+			best, least = address, load
+		}
+	}
+	a.busy[best] += cost
+	return best
+}
+
+func (a *adviser) give(address string, cost time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.busy[address] -= cost; a.busy[address] <= 0 {
+		delete(a.busy, address)
+	}
+}
+
+// advise asks the adviser, from the host whose turn comes first.
+func (h *Host) advise(ctx context.Context, order work.AdviceOrder, cost time.Duration) (report work.AdviceReport, err error) {
+	addresses := []string{h.PeerAddress}
+	var alive map[string]bool
+	if err := h.loop.Call(ctx, func() { alive = h.aliveAddresses() }); err != nil {
+		return report, err
+	}
+	for _, m := range h.view.Load().members {
+		if m.Address != h.PeerAddress && alive[m.Address] {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	address := h.adviser.take(addresses, cost)
+	defer h.adviser.give(address, cost)
+	if address == h.PeerAddress {
+		return h.Targets.Advise(ctx, order)
+	}
+	reply, err := peer.Call[work.AdviceOrder, work.AdviceReport](ctx, h.peers, address, callAdvise, &order)
+	if err != nil {
+		return report, err
+	}
+	return *reply, nil
+}
+
+// aliveFor is how long after a heartbeat a host counts as alive.
+const aliveFor = 1200 * time.Millisecond
+
+// aliveAddresses returns the addresses of the hosts heard lately.
+func (h *Host) aliveAddresses() map[string]bool {
+	alive := map[string]bool{}
+	for _, m := range h.members {
+		if time.Since(h.heard[m.Instance]) < aliveFor {
+			alive[m.Address] = true
+		}
+	}
+	return alive
+}
+
+// successors lists the hosts heard lately, strongest first.
+func (h *Host) successors() (list []memberRow) {
+	alive := h.aliveAddresses()
+	for _, m := range h.view.Load().members {
+		if m.Instance != h.instance && alive[m.Address] {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+func (h *Host) onHandOver(ctx context.Context, in *handOverRequest) (out *handOverReply, err error) {
+	out = &handOverReply{}
+	if h.stopping.Load() {
+		return out, nil
+	}
+	claim := false
+	err = h.loop.Call(ctx, func() {
+		if h.claiming || h.own != nil {
+			return
+		}
+		h.claiming, claim = true, true
+	})
+	if err != nil || !claim {
+		return out, err
+	}
+	done := make(chan struct{})
+	h.spawn(func() {
+		defer close(done)
+		// The claim goes on should the caller give up waiting.
+		h.claimNow(h.runCtx, in.Owner, in.Revision)
+		h.loop.Post(func() { h.claiming = false })
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	err = h.loop.Call(ctx, func() { out.Taken = h.own != nil })
+	return out, err
+}
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,308 @@
+// Package host assembles one entry host: it serves callers, takes part in the
+// ownership of the cell and, while it is the owner, decides about jobs and
+// workers. It keeps nothing that has to outlive the process: what must last is
+// in the store.
+//
+// # Usage
+//
+//	h := host.New()
+//	h.Name, h.PeerAddress, h.Seeds = "host-1", "10.1.0.17:8180", seeds
+//	h.DirectStore, h.Workers = store.Do, workers // adapters
+//	err := h.Run(ctx) // until ctx ends, then a planned stop
+package host
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/boottime"
+	"turmericspread.org/turmericspread/internal/cell"
+	"turmericspread.org/turmericspread/internal/control"
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/kvstore"
+	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("host")
+
+// Targets are the ways to workers and to the placement adviser.
+type Targets struct {
+	Start  func(ctx context.Context, w work.Worker, order work.StartOrder) (work.OrderReport, error)
+	Stop   func(ctx context.Context, w work.Worker, order work.RunOrder) (work.OrderReport, error)
+	Hold   func(ctx context.Context, w work.Worker, order work.HoldOrder) (work.HoldReport, error)
+	Pace   func(ctx context.Context, w work.Worker, order work.RunOrder, percent int) (work.OrderReport, error)
+	Advise func(ctx context.Context, order work.AdviceOrder) (work.AdviceReport, error)
+}
+
+// Lists tell where the platform keeps what it and the operators write, and how
+// to read it.
+type Lists struct {
+	WorkersPrefix string
+	DecodeWorker  func(key string, value []byte) (work.Worker, error)
+	TablesKey     string
+	DecodeTables  func(value []byte) (*work.Tables, error)
+}
+
+// Host is one entry host. Set the exported fields before Run.
+type Host struct {
+	Name        string
+	Place       string   // data centre
+	PeerAddress string   // where other hosts connect
+	Seeds       []string // peer addresses of some other hosts, possibly stale
+	Power       float64  // processor share, to prefer strong hosts as owners
+	Bounds      cell.Bounds
+	Grace       time.Duration // bound of a planned stop
+	Log         zerolog.Logger
+	DirectStore func(ctx context.Context, req kvstore.Request) (kvstore.Response, error)
+	Targets     Targets
+	Lists       Lists
+	Listen      func(address string) (net.Listener, error)
+
+	instance string
+	loop     *control.Loop
+	peers    *peer.Client
+	relay    *kvstore.Relay
+	store    *kvstore.Client
+	tables   atomic.Pointer[work.Tables]
+	ready    atomic.Bool
+	stopping atomic.Bool
+	group    sync.WaitGroup
+	started  time.Time
+	runCtx   context.Context // ends with the process
+	adviser  adviser
+	stats    *Stats
+
+	view atomic.Pointer[view] // of the cell, for other goroutines
+
+	// The rest belongs to the control goroutine.
+	row       ownerRow
+	rowRev    int64
+	rowKnown  bool
+	beatRev   int64
+	beatSeen  time.Time // when beatRev was first seen
+	members   map[string]memberRow
+	heard     map[string]time.Time // when another host was heard last, by instance
+	own       *cell.Owner
+	ownCancel context.CancelFunc
+	claiming  bool
+	suspect   suspicion
+}
+
+// view is what other goroutines need to know of the cell.
+type view struct {
+	owner   ownerRow
+	known   bool
+	members []memberRow
+}
+
+// New returns a Host that does not run yet.
+func New() *Host {
+	const instanceBytes = 6
+	suffix := make([]byte, instanceBytes)
+	_, _ = rand.Read(suffix)
+	h := &Host{
+		Log:      zerolog.Nop(),
+		Listen:   func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		instance: hex.EncodeToString(suffix),
+		loop:     control.New(),
+		peers:    peer.NewClient(),
+		members:  map[string]memberRow{},
+		heard:    map[string]time.Time{},
+		started:  time.Now(),
+		stats:    newStats(),
+	}
+	h.view.Store(&view{})
+	return h
+}
+
+const (
+	// directTimeout bounds a direct call to the store; slow stores answer
+	// within a quarter of a second.
+	directTimeout = 500 * time.Millisecond
+	// storeTimeout bounds a call with its second way.
+	storeTimeout = 1100 * time.Millisecond
+	// storeDownAfter is how long no call may be answered until the store counts
+	// as away.
+	storeDownAfter = 1200 * time.Millisecond
+	// tickPeriod is the time between two looks for what is due by time.
+	tickPeriod = 10 * time.Millisecond
+)
+
+// Run serves until ctx ends and then stops gracefully.
+func (h *Host) Run(ctx context.Context) (err error) {
+	defer Error.WrapP(&err)
+	h.relay = &kvstore.Relay{
+		Direct: h.DirectStore, Through: h.storeThroughPeer, DirectTimeout: directTimeout, Changed: h.directChanged,
+	}
+	h.store = &kvstore.Client{Do: h.relay.Do, Timeout: storeTimeout}
+	h.adviser.busy = map[string]time.Duration{}
+	listener, err := h.Listen(h.PeerAddress)
+	if err != nil {
+		return err
+	}
+	runCtx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.runCtx = runCtx
+	h.spawn(func() { h.loop.Run(runCtx) })
+	h.spawn(func() {
+		if err := peer.Serve(runCtx, listener, h.mux()); err != nil && runCtx.Err() == nil {
+			h.Log.Error().Err(err).Msg("peer server ended")
+		}
+	})
+	h.spawn(func() { h.followTables(runCtx) })
+	h.spawn(func() { h.followCell(runCtx) })
+	h.spawn(func() { h.watchOwner(runCtx) })
+	h.spawn(func() { h.tick(runCtx) })
+	event.Started.Log(h.Log).Str("instance", h.instance).Str("place", h.Place).Str("peer", h.PeerAddress).Send()
+	<-ctx.Done()
+	h.stop(runCtx)
+	cancel()
+	_ = h.peers.Close()
+	h.group.Wait()
+	event.Stopped.Log(h.Log).Send()
+	return nil
+}
+
+// Instance names this process.
+func (h *Host) Instance() string { return h.instance }
+
+// Ready reports whether this host should get new connections.
+func (h *Host) Ready() bool { return h.ready.Load() && !h.stopping.Load() }
+
+// Stopping reports whether a planned stop has begun.
+func (h *Host) Stopping() bool { return h.stopping.Load() }
+
+// Tables returns the configuration in force, nil before the first was read.
+func (h *Host) Tables() *work.Tables { return h.tables.Load() }
+
+func (h *Host) spawn(fn func()) {
+	h.group.Add(1)
+	go func() {
+		defer h.group.Done()
+		fn()
+	}()
+}
+
+// post runs fn on the control goroutine and then what has become due.
+func (h *Host) post(fn func()) {
+	h.loop.Post(func() {
+		fn()
+		if h.own != nil {
+			h.own.Tick()
+		}
+	})
+}
+
+func (h *Host) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			err := h.loop.Call(ctx, func() {
+				if h.own != nil {
+					h.own.Tick()
+				}
+			})
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// storeUp reports whether the store answers this host, directly or through another.
+func (h *Host) storeUp() bool {
+	return h.store.Up() || time.Since(h.store.LastGood()) < storeDownAfter
+}
+
+// storeLost returns how long ago the store last failed to answer. A process
+// that has just started cannot tell and reports its own age.
+func (h *Host) storeLost() time.Duration {
+	return min(time.Since(h.store.LastBad()), time.Since(h.started))
+}
+
+func (h *Host) directChanged(direct bool, err error) {
+	if direct {
+		event.StoreDirectBack.Log(h.Log).Send()
+		return
+	}
+	event.StoreDirectLost.Log(h.Log).Err(err).Send()
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// tablesPeriod is the time between two reads of the configuration. A watch can
+// be silent, so the version is polled; it has to be in force within two seconds.
+const tablesPeriod = 400 * time.Millisecond
+
+// tablesOld is the age of the last read from which it is logged as stale.
+const tablesOld = 2 * time.Second
+
+// followTables keeps the configuration in force up to date. It never goes back
+// to an older version.
+func (h *Host) followTables(ctx context.Context) {
+	last := time.Now()
+	stale := false
+	for ctx.Err() == nil {
+		item, err := h.store.Get(ctx, h.Lists.TablesKey)
+		switch {
+		case err == nil && item.Revision > 0:
+			h.applyTables(item.Value)
+			last = time.Now()
+			if stale {
+				stale = false
+				event.TablesFresh.Log(h.Log).Send()
+			}
+		case !stale && time.Since(last) > tablesOld:
+			stale = true
+			event.TablesStale.Log(h.Log).Dur("age", time.Since(last)).Err(err).Send()
+		}
+		pause(ctx, tablesPeriod)
+	}
+}
+
+func (h *Host) applyTables(value []byte) {
+	tables, err := h.Lists.DecodeTables(value)
+	if err != nil {
+		event.ConfigRefused.Log(h.Log).Err(err).Send()
+		return
+	}
+	current := h.tables.Load()
+	if current != nil && tables.Version <= current.Version {
+		return
+	}
+	tables.Index()
+	h.tables.Store(tables)
+	event.ConfigApplied.Log(h.Log).Int64("version", tables.Version).Int("queues", len(tables.Queues)).
+		Int("teams", len(tables.Teams)).Send()
+	if current == nil {
+		h.ready.Store(true)
+	}
+}
+
+// boot reads the clock that leases are checked against.
+func boot() time.Duration { return boottime.Now() }
+
+// wall reads the time of day since 1970.
+func wall() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- /dev/null
+++ b/internal/host/metrics.go
@@ -0,0 +1,74 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"turmericspread.org/turmericspread/internal/cell"
+)
+
+// CountAnswer counts an answer to a caller.
+func (h *Host) CountAnswer(method string, status int) {
+	h.stats.set.GetOrCreateCounter(fmt.Sprintf(`turmericspread_answers_total{method=%q,status="%d"}`, method, status)).Inc()
+}
+
+// ServeMetrics registers the metrics page.
+func (h *Host) ServeMetrics(srv *server.Hertz) {
+	srv.GET("/metrics", func(ctx context.Context, c *app.RequestContext) {
+		var page bytes.Buffer
+		h.stats.set.WritePrometheus(&page)
+		h.writeOwner(ctx, &page)
+		metrics.WriteProcessMetrics(&page)
+		c.Data(200, "text/plain; charset=utf-8", page.Bytes())
+	})
+}
+
+// writeOwner writes the figures of the cell's owner, if this host is it.
+func (h *Host) writeOwner(ctx context.Context, page *bytes.Buffer) {
+	var counters cell.Counters
+	var owner bool
+	var jobs, open, workers, usable int
+	var epoch int64
+	err := h.loop.Call(ctx, func() {
+		if h.own == nil {
+			return
+		}
+		owner, epoch, counters = true, h.own.Epoch, h.own.Counters
+		jobs, open = h.own.Jobs()
+		workers, usable = h.own.Workers()
+	})
+	if err != nil {
+		h.Log.Warn().Err(err).Msg("figures of the cell not read")
+		return
+	}
+	gauge := func(name string, value int64) { fmt.Fprintf(page, "turmericspread_%s %d\n", name, value) }
+	if !owner {
+		gauge("owner", 0)
+		return
+	}
+	gauge("owner", 1)
+	gauge("epoch", epoch)
+	gauge("jobs", int64(jobs))
+	gauge("jobs_open", int64(open))
+	gauge("workers", int64(workers))
+	gauge("workers_usable", int64(usable))
+	gauge("starts_total", counters.Starts)
+	gauge("starts_refused_total", counters.StartsRefused)
+	gauge("starts_unknown_total", counters.StartsUnknown)
+	gauge("stops_total", counters.Stops)
+	gauge("holds_total", counters.Holds)
+	gauge("holds_missed_total", counters.HoldsMissed)
+	gauge("runs_done_total", counters.EndsDone)
+	gauge("runs_failed_total", counters.EndsFailed)
+	gauge("runs_ended_otherwise_total", counters.EndsOther)
+	gauge("runs_lost_total", counters.Lost)
+	gauge("record_writes_total", counters.Saves)
+	gauge("record_writes_failed_total", counters.SavesFailed)
+	gauge("advice_asked_total", counters.AdviceAsked)
+	gauge("advice_failed_total", counters.AdviceFailed)
+}
--- /dev/null
+++ b/internal/sched/sched.go
@@ -0,0 +1,176 @@
+// Package sched holds the decisions about waiting work: which goes first, where
+// it is placed and what must make room. It does no input or output and reads
+// no clock.
+//
+// # Usage
+//
+//	slices.SortFunc(groups, func(a, b group) int { return sched.Compare(a.rank, b.rank) })
+//	i := sched.Choose(rooms, step.Want)
+//	picks := sched.ChooseAll(rooms, step.Want, step.Count, sched.Spread{SameRack: true})
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/resource"
+)
+
+// Rank orders work that waits for room.
+type Rank struct {
+	Priority int           // of the queue; 0 comes first
+	Excess   bool          // beyond the rate that the team's weight entitles it to
+	Deadline time.Duration // by which the work should have ended
+}
+
+// Compare orders by priority, then entitled work before excess, then by
+// deadline. It answers a flood from one team: the others' work goes first.
+func Compare(a, b Rank) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if a.Excess != b.Excess {
+		if a.Excess {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.Deadline, b.Deadline)
+}
+
+// Room is what a worker offers to a task.
+type Room struct {
+	Free    resource.Vector
+	Rack    string
+	Penalty float64 // estimated slow-down beyond 1, as for data on another rack
+	Most    int     // how many tasks of the step may still be placed here
+}
+
+// Choose returns the room that want fits into: the least penalty, then the
+// least left over. It returns -1 if there is none.
+func Choose(rooms []Room, want resource.Vector) (best int) {
+	best = -1
+	for i := range rooms {
+		r := &rooms[i]
+		if r.Most <= 0 || !r.Free.Fits(want) {
+			continue
+		}
+		if best < 0 || better(r, &rooms[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func better(a, b *Room) bool {
+	if a.Penalty != b.Penalty {
+		return a.Penalty < b.Penalty
+	}
+	return a.Free.MilliCores < b.Free.MilliCores
+}
+
+// Spread restricts where the tasks of one gang may go.
+type Spread struct {
+	SameRack bool // prefer one rack: the tasks are slower when spread
+}
+
+// ChooseAll places count like tasks at once, or none. The result has a room
+// for each task.
+func ChooseAll(rooms []Room, want resource.Vector, count int, spread Spread) (picks []int) {
+	if spread.SameRack {
+		if picks = oneRack(rooms, want, count); picks != nil {
+			return picks
+		}
+	}
+	return fill(slices.Clone(rooms), want, count, func(*Room) bool { return true })
+}
+
+// oneRack uses the rack with the least room that holds all tasks.
+func oneRack(rooms []Room, want resource.Vector, count int) (picks []int) {
+	fits := map[string]int64{}
+	for i := range rooms {
+		fits[rooms[i].Rack] += min(rooms[i].Free.Count(want), int64(rooms[i].Most))
+	}
+	best := ""
+	for _, rack := range slices.Sorted(maps.Keys(fits)) {
+		if fits[rack] >= int64(count) && (best == "" || fits[rack] < fits[best]) {
+			best = rack
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	return fill(slices.Clone(rooms), want, count, func(r *Room) bool { return r.Rack == best })
+}
+
+func fill(rooms []Room, want resource.Vector, count int, allowed func(*Room) bool) (picks []int) {
+	for i := range rooms {
+		if !allowed(&rooms[i]) {
+			rooms[i].Most = 0
+		}
+	}
+	for range count {
+		i := Choose(rooms, want)
+		if i < 0 {
+			return nil
+		}
+		rooms[i].Free = rooms[i].Free.Sub(want)
+		rooms[i].Most--
+		picks = append(picks, i)
+	}
+	return picks
+}
+
+// Allowance tells work that a team is entitled to from what exceeds its rate.
+// It answers a team that submits many times its usual.
+type Allowance struct {
+	level  float64
+	last   time.Duration
+	primed bool
+}
+
+// burstSeconds is how many seconds of its rate a team may submit at once.
+const burstSeconds = 2
+
+// Take counts one job at now, on any steady clock, for a team with a rate of
+// perSecond jobs, and reports whether it is within the rate.
+func (a *Allowance) Take(now time.Duration, perSecond float64) (entitled bool) {
+	burst := max(perSecond*burstSeconds, 1)
+	if !a.primed {
+		a.level, a.last, a.primed = burst, now, true
+	}
+	a.level = min(burst, a.level+perSecond*max(now-a.last, 0).Seconds())
+	a.last = now
+	if a.level < 1 {
+		return false
+	}
+	a.level--
+	return true
+}
+
+// Pace returns the share in percent at which the filling tasks of a worker may
+// work, given the worst tail of its serving tasks relative to their targets.
+// It halves when a tail comes near its target and recovers in small steps, so
+// that a load that changes within a second does not make it oscillate.
+func Pace(percent int, worstRatio float64) int {
+	const (
+		nearTarget = 0.85 // lower the pace before the target is missed
+		relaxed    = 0.6  // raise it again below this
+		floor      = 10   // below this the tasks are halted
+		step       = 15
+	)
+	switch {
+	case worstRatio >= 1:
+		return 0
+	case worstRatio >= nearTarget:
+		if percent /= 2; percent < floor {
+			percent = 0
+		}
+		return percent
+	case worstRatio < relaxed:
+		return min(percent+step, 100)
+	}
+	return percent
+}
--- /dev/null
+++ b/internal/work/worker.go
@@ -0,0 +1,183 @@
+package work
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/resource"
+)
+
+// Worker is one entry of the list of workers.
+type Worker struct {
+	ID        string
+	Address   string
+	Pool      string
+	Place     string // data centre
+	Rack      string
+	Labels    []string
+	Capacity  resource.Vector
+	Draining  bool
+	Remaining time.Duration // least time until a draining worker leaves
+	Cold      time.Duration // how long the worker stays slow after its start
+	Born      int64         // start of this life in Unix milliseconds; 0: unknown
+}
+
+// HasLabel reports whether the worker carries label.
+func (w *Worker) HasLabel(label string) bool {
+	for _, l := range w.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// TaskRef names a task within the cell.
+type TaskRef struct {
+	Job        string
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the name of the task, as in "5c0e7a21d94b36f8.0.1.17".
+func (r TaskRef) String() string {
+	return r.Job + "." + strconv.Itoa(r.Occurrence) + "." + strconv.Itoa(r.Step) + "." + strconv.Itoa(r.Index)
+}
+
+// StepName returns the name of the task's step, as in "5c0e7a21d94b36f8.0.1".
+func (r TaskRef) StepName() string {
+	return r.Job + "." + strconv.Itoa(r.Occurrence) + "." + strconv.Itoa(r.Step)
+}
+
+// ParseTaskRef reads the name of a task.
+func ParseTaskRef(name string) (ref TaskRef, err error) {
+	defer Error.WrapP(&err)
+	parts := strings.Split(name, ".")
+	const fields = 4
+	if len(parts) != fields {
+		return TaskRef{}, errs.New("task name %q: four parts expected", name)
+	}
+	ref.Job = parts[0]
+	for i, out := range []*int{&ref.Occurrence, &ref.Step, &ref.Index} {
+		if *out, err = strconv.Atoi(parts[i+1]); err != nil {
+			return TaskRef{}, errs.New("task name %q: %v", name, err)
+		}
+	}
+	return ref, nil
+}
+
+// How tells how a run ended.
+type How string
+
+// The ways in which a run ends.
+const (
+	EndDone    How = "done"
+	EndFailed  How = "failed"  // by the task's or the worker's fault
+	EndStopped How = "stopped" // by an order
+	EndLapsed  How = "lapsed"  // the worker's lease ran out
+	EndBroken  How = "broken"  // another member of the gang ended
+	EndAlone   How = "alone"   // the other members of the gang did not come in time
+)
+
+// RunReport is a run that a worker lists as running.
+type RunReport struct {
+	Task       TaskRef
+	Run        int64
+	Checkpoint string
+	Percent    int // of the work done; 100 for a serving task at work
+	Figure     int // tail in milliseconds of a serving task, else processor use
+}
+
+// EndReport is a run that a worker lists as ended.
+type EndReport struct {
+	Number     int64 // counts from 1 in each life of the worker
+	Task       TaskRef
+	Run        int64
+	How        How
+	Checkpoint string
+}
+
+// HoldOrder renews everything that runs on a worker and asks what does.
+type HoldOrder struct {
+	Fence    int64
+	Deadline time.Duration // on the worker's clock; 0: renew nothing
+	SeenUpto int64         // ends up to this number may be forgotten
+	Wait     time.Duration // how long the worker may wait for an end
+}
+
+// HoldReport is the answer to a HoldOrder.
+type HoldReport struct {
+	Clock   time.Duration // of the worker
+	Born    int64
+	Running []RunReport
+	Ended   []EndReport
+}
+
+// StartOrder starts one run of a task.
+type StartOrder struct {
+	Task       TaskRef
+	Run        int64
+	Payload    string
+	Deadline   time.Duration // on the worker's clock; a later arrival is refused
+	Fence      int64
+	Checkpoint string
+	Ticket     string
+}
+
+// RunOrder addresses one run.
+type RunOrder struct {
+	Task  TaskRef
+	Run   int64
+	Fence int64
+}
+
+// OrderReport is the answer to an order that was carried out.
+type OrderReport struct {
+	Clock time.Duration
+}
+
+// Refusals: the worker answered and did nothing.
+var (
+	ErrFenced    = errs.New("worker: a higher fence was seen")
+	ErrOldRun    = errs.New("worker: run number too low")
+	ErrLate      = errs.New("worker: the order's deadline has passed")
+	ErrNoRoom    = errs.New("worker: no room")
+	ErrTicket    = errs.New("worker: ticket not valid")
+	ErrUnhealthy = errs.New("worker: unhealthy, nothing was done")
+	ErrOtherLife = errs.New("worker: another incarnation answers")
+	ErrMalformed = errs.New("worker: order refused as malformed")
+)
+
+// Refused reports whether err says that the worker answered and did nothing.
+func Refused(err error) bool {
+	for _, refusal := range []error{
+		ErrFenced, ErrOldRun, ErrLate, ErrNoRoom, ErrTicket, ErrUnhealthy, ErrOtherLife, ErrMalformed,
+	} {
+		if errs.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
+// AdviceOrder asks which workers may run a step.
+type AdviceOrder struct {
+	Step    string
+	Workers []string
+}
+
+// Ticket permits one worker to run the tasks of a step.
+type Ticket struct {
+	Worker string
+	Ticket string
+}
+
+// AdviceReport is the answer to an AdviceOrder.
+type AdviceReport struct {
+	Good  []Ticket
+	Valid time.Duration
+}
