--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -27,6 +27,7 @@
 	saved    int64 // version known to be in the store
 	saving   bool
 	retryAt  time.Duration
+	recordAt time.Duration // until when a change has to be recorded
 }
 
 // step is a step in one occurrence.
@@ -40,7 +41,6 @@
 	done       int
 	running    int     // tasks with a run
 	failed     []int64 // runs of the whole gang that failed
-	retryAt    time.Duration
 	advice     advice
 	startedAt  time.Duration // when the first task was ordered
 }
@@ -196,7 +196,7 @@
 	j.state = state
 	j.endedAt = o.Wall()
 	o.active = slices.DeleteFunc(o.active, func(other *job) bool { return other == j })
-	o.touch(j)
+	o.record(j, recordSoon)
 	event.CellJobEnded.Log(o.Log).Str("job", j.spec.ID).Str("queue", j.spec.Queue).Str("state", string(state)).
 		Dur("age", j.endedAt-j.spec.Accepted).Send()
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -61,8 +61,6 @@
 	fenceBumps = 1 << 16
 	// holdWait is how long a worker with work waits for an end before it answers.
 	holdWait = 900 * time.Millisecond
-	// holdTimeout is added to the wait for the answer to a hold.
-	holdTimeout = 500 * time.Millisecond
 	// endPause gathers ends and lets their records be written before the next look.
 	endPause = 25 * time.Millisecond
 	// probePause is the time between two looks at a worker that does not answer,
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -21,9 +21,25 @@
 	saveBytes = 512 << 10
 )
 
+const (
+	// recordSoon is how long the record of a decision that is to be acted upon,
+	// or shown, waits for others to be written with it.
+	recordSoon = 4 * time.Millisecond
+	// recordLater is how long the record of an end waits: until then it is not
+	// acknowledged, and nothing else depends on it.
+	recordLater = 80 * time.Millisecond
+)
+
 // touch notes a change of a job that has to be recorded.
-func (o *Owner) touch(j *job) {
+func (o *Owner) touch(j *job) { o.record(j, recordLater) }
+
+// record notes a change that has to be recorded within the given time.
+func (o *Owner) record(j *job, within time.Duration) {
 	j.version++
+	at := o.Now() + within
+	if !o.dirty[j] || at < j.recordAt {
+		j.recordAt = at
+	}
 	o.dirty[j] = true
 }
 
@@ -34,13 +50,19 @@
 	}
 	now := o.Now()
 	var ready []*job
+	due := false
 	for j := range o.dirty {
 		if !j.saving && now >= j.retryAt {
 			ready = append(ready, j)
+			due = due || now >= j.recordAt
 		}
 	}
+	if !due {
+		return
+	}
+	// Whatever else is ready goes into the same writes.
 	slices.SortFunc(ready, func(a, b *job) int {
-		if c := cmp.Compare(a.queue.Priority, b.queue.Priority); c != 0 {
+		if c := cmp.Compare(a.recordAt, b.recordAt); c != 0 {
 			return c
 		}
 		if c := cmp.Compare(a.spec.Accepted, b.spec.Accepted); c != 0 {
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -52,8 +52,6 @@
 	// out. Starts that are held up longer are refused by the worker, so an order
 	// without an answer is settled soon.
 	startDeadline = 1500 * time.Millisecond
-	// startTimeout is how long an answer to a start is waited for.
-	startTimeout = 600 * time.Millisecond
 	// stopRetry is the time between two orders to stop the same run.
 	stopRetry = 400 * time.Millisecond
 	// runsPerEpoch separates the run numbers of successive owners: starts that
@@ -111,7 +109,7 @@
 	r := &run{task: t, node: n, number: number, state: runPlanned, born: n.born, ticket: ticket}
 	o.attach(r)
 	j.begun = true
-	o.touch(j)
+	o.record(j, recordSoon)
 	r.version = j.version
 	if !o.StoreUp() && o.confirmed(o.Now()) {
 		// The store is away: nobody can have taken over, and work goes on.
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -12,11 +12,23 @@
 
 // group is the waiting tasks of a step.
 type group struct {
-	step  *step
-	tasks []*task
-	rank  sched.Rank
+	step      *step
+	tasks     []*task
+	rank      sched.Rank
+	slack     time.Duration // left of the allowance, beyond the work to be done
+	allowance time.Duration // from submission to deadline
 }
 
+// pool is the workers of a service that take work now.
+type pool struct {
+	nodes []*node
+	free  resource.Vector
+	total resource.Vector
+}
+
+// reserved is the share of a pool that work with time to spare leaves free.
+const reserved = 0.12
+
 // servingPriority ranks tasks that serve users all the time before all queues:
 // while one is away its users are not served at all.
 const servingPriority = -1
@@ -34,14 +46,14 @@
 	pools := o.usableNodes(now)
 	for i := range groups {
 		g := &groups[i]
-		nodes := pools[g.step.job.queue.Service]
-		if len(nodes) == 0 {
+		p := pools[g.step.job.queue.Service]
+		if p == nil {
 			continue
 		}
 		if g.step.spec.Gang {
-			o.placeGang(g, nodes, now)
+			o.placeGang(g, p, now)
 		} else {
-			o.placeEach(g, nodes, now)
+			o.placeEach(g, p, now)
 		}
 	}
 }
@@ -56,16 +68,36 @@
 	return true
 }
 
-func (o *Owner) usableNodes(now time.Duration) (pools map[string][]*node) {
-	pools = map[string][]*node{}
+func (o *Owner) usableNodes(now time.Duration) (pools map[string]*pool) {
+	pools = map[string]*pool{}
 	for _, n := range o.order {
-		if n.usable(now) {
-			pools[n.w.Pool] = append(pools[n.w.Pool], n)
+		if !n.usable(now) {
+			continue
+		}
+		p := pools[n.w.Pool]
+		if p == nil {
+			p = &pool{}
+			pools[n.w.Pool] = p
 		}
+		p.nodes = append(p.nodes, n)
+		p.free = p.free.Add(n.free())
+		p.total = p.total.Add(n.w.Capacity)
 	}
 	return pools
 }
 
+// admits reports whether the group may take room for count tasks now.
+func (p *pool) admits(g *group, count int) bool {
+	if g.rank.Priority <= 0 {
+		return true
+	}
+	want := g.tasks[0].want().Scale(int64(count))
+	return sched.Reserve{Share: reserved}.Admits(p.free, p.total, want, g.slack, g.allowance)
+}
+
+// take notes that a task has been given room.
+func (p *pool) take(t *task) { p.free = p.free.Sub(t.want()) }
+
 // waiting lists the steps that have tasks to start, best rank first.
 func (o *Owner) waiting(now time.Duration) (groups []group) {
 	wall := o.Wall()
@@ -78,6 +110,8 @@
 				continue
 			}
 			g := group{step: s, rank: o.rank(s)}
+			g.allowance = g.rank.Deadline - max(j.spec.Accepted, j.spec.Due(s.occurrence))
+			g.slack = g.rank.Deadline - wall - o.chain(j)
 			for _, t := range s.tasks {
 				if t.waiting(now) {
 					g.tasks = append(g.tasks, t)
@@ -172,12 +206,12 @@
 }
 
 // placeEach starts as many tasks of the group as find room.
-func (o *Owner) placeEach(g *group, nodes []*node, now time.Duration) {
+func (o *Owner) placeEach(g *group, p *pool, now time.Duration) {
 	s := g.step
-	rooms, usable := o.rooms(s, nodes, now)
+	rooms, usable := o.rooms(s, p.nodes, now)
 	placed := 0
 	for _, t := range g.tasks {
-		if !o.withinMaximum(s, 1) {
+		if !o.withinMaximum(s, 1) || !p.admits(g, 1) {
 			return
 		}
 		i := o.choose(rooms, usable, t)
@@ -187,10 +221,11 @@
 		rooms[i].Free = rooms[i].Free.Sub(t.want())
 		rooms[i].Most--
 		o.plan(t, usable[i], o.nextRun(t), s.advice.ticket(usable[i]))
+		p.take(t)
 		placed++
 	}
 	if placed < len(g.tasks) && s.job.queue.Advice != nil {
-		o.askAdvice(s, nodes, len(g.tasks)-placed, now)
+		o.askAdvice(s, p.nodes, len(g.tasks)-placed, now)
 	}
 }
 
@@ -232,16 +267,16 @@
 }
 
 // placeGang starts all tasks of a gang with one run number, or none.
-func (o *Owner) placeGang(g *group, nodes []*node, now time.Duration) {
+func (o *Owner) placeGang(g *group, p *pool, now time.Duration) {
 	s := g.step
-	if len(g.tasks) < len(s.tasks)-s.done || !o.withinMaximum(s, len(g.tasks)) {
+	if len(g.tasks) < len(s.tasks)-s.done || !o.withinMaximum(s, len(g.tasks)) || !p.admits(g, len(g.tasks)) {
 		return
 	}
-	rooms, usable := o.rooms(s, nodes, now)
+	rooms, usable := o.rooms(s, p.nodes, now)
 	picks := sched.ChooseAll(rooms, g.tasks[0].want(), len(g.tasks), sched.Spread{SameRack: s.spec.RackSensitive})
 	if picks == nil {
 		if s.job.queue.Advice != nil {
-			o.askAdvice(s, nodes, len(g.tasks), now)
+			o.askAdvice(s, p.nodes, len(g.tasks), now)
 		}
 		return
 	}
@@ -251,6 +286,7 @@
 	}
 	for i, t := range g.tasks {
 		o.plan(t, usable[picks[i]], number, s.advice.ticket(usable[picks[i]]))
+		p.take(t)
 	}
 }
 
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -101,7 +101,6 @@
 	unlisted bool
 	fails    bool // fails all that it starts
 	waiters  []func()
-	capacity resource.Vector
 }
 
 type simRun struct {
@@ -214,17 +213,17 @@
 	o.StoreLost = func() time.Duration { return s.now - s.store.lost }
 	o.Advisers = func() int { return 4 }
 	o.Deposed = func(reason string) { s.note("epoch %d deposed: %s", o.Epoch, reason) }
-	o.Owner.Start = func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error)) {
+	o.Start = func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error)) {
 		simOrder(o, w, func(sw *simWorker) (work.OrderReport, error) { return sw.start(order) }, done)
 	}
-	o.Owner.Stop = func(w work.Worker, order work.RunOrder, done func(work.OrderReport, error)) {
+	o.Stop = func(w work.Worker, order work.RunOrder, done func(work.OrderReport, error)) {
 		simOrder(o, w, func(sw *simWorker) (work.OrderReport, error) { return sw.stop(order) }, done)
 	}
-	o.Owner.Pace = func(_ work.Worker, _ work.RunOrder, _ int, done func(work.OrderReport, error)) {
+	o.Pace = func(_ work.Worker, _ work.RunOrder, _ int, done func(work.OrderReport, error)) {
 		done(work.OrderReport{}, nil)
 	}
-	o.Owner.Hold = o.hold
-	o.Save = func(batch []Write, done func([]Saved)) { o.save(rev, batch, done) }
+	o.Hold = o.sendHold
+	o.Save = func(batch []Write, done func([]Saved)) { o.sendSave(rev, batch, done) }
 	o.Forget = func(_ []string, done func(bool)) { done(false) }
 	var stored []Stored
 	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
@@ -324,7 +323,7 @@
 	})
 }
 
-func (o *simOwner) hold(w work.Worker, order work.HoldOrder, done func(work.HoldReport, error)) {
+func (o *simOwner) sendHold(w work.Worker, order work.HoldOrder, done func(work.HoldReport, error)) {
 	s := o.sim
 	sw := s.workers[w.ID]
 	answered := false
@@ -370,7 +369,7 @@
 	})
 }
 
-func (o *simOwner) save(ownerRev int64, batch []Write, done func([]Saved)) {
+func (o *simOwner) sendSave(ownerRev int64, batch []Write, done func([]Saved)) {
 	s := o.sim
 	results := make([]Saved, len(batch))
 	for i, w := range batch {
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -34,7 +34,9 @@
 
 type beatReply struct {
 	Instance string
-	Owner    bool // the answering host owns the cell
+	Owner    bool  // the answering host owns the cell
+	Version  int64 // of the newest configuration that it has read
+	ReadAge  int64 // milliseconds since it last read the configuration
 }
 
 type storeReply struct {
@@ -92,7 +94,10 @@
 }
 
 func (h *Host) onBeat(ctx context.Context, in *beatRequest) (out *beatReply, err error) {
-	out = &beatReply{Instance: h.instance}
+	out = &beatReply{Instance: h.instance, ReadAge: time.Since(h.tablesRead()).Milliseconds()}
+	if tables := h.tables.Load(); tables != nil {
+		out.Version = tables.Version
+	}
 	err = h.loop.Call(ctx, func() {
 		out.Owner = h.own != nil
 		h.heard[in.Instance] = time.Now()
@@ -259,8 +264,12 @@
 type adviser struct {
 	mu   sync.Mutex
 	busy map[string]time.Duration // by address: expected time of what is under way
+	rest map[string]time.Time     // by address: until when not to ask it after a failure
 }
 
+// adviserRest is how long a host through which a question failed is left out.
+const adviserRest = 2 * time.Second
+
 // relayCost is the weight of a question through another host, so that a host
 // asks itself first.
 const relayCost = 3 * time.Millisecond
@@ -269,7 +278,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var least time.Duration
+	now := time.Now()
 	for i, address := range addresses {
+		if i > 0 && now.Before(a.rest[address]) {
+			continue
+		}
 		load := a.busy[address]
 		if i > 0 {
 			load += relayCost
@@ -282,9 +295,12 @@
 	return best
 }
 
-func (a *adviser) give(address string, cost time.Duration) {
+func (a *adviser) give(address string, cost time.Duration, failed bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if failed {
+		a.rest[address] = time.Now().Add(adviserRest)
+	}
 	if a.busy[address] -= cost; a.busy[address] <= 0 {
 		delete(a.busy, address)
 	}
@@ -293,17 +309,13 @@
 // advise asks the adviser, from the host whose turn comes first.
 func (h *Host) advise(ctx context.Context, order work.AdviceOrder, cost time.Duration) (report work.AdviceReport, err error) {
 	addresses := []string{h.PeerAddress}
-	var alive map[string]bool
-	if err := h.loop.Call(ctx, func() { alive = h.aliveAddresses() }); err != nil {
-		return report, err
-	}
 	for _, m := range h.view.Load().members {
-		if m.Address != h.PeerAddress && alive[m.Address] {
+		if m.Address != h.PeerAddress {
 			addresses = append(addresses, m.Address)
 		}
 	}
 	address := h.adviser.take(addresses, cost)
-	defer h.adviser.give(address, cost)
+	defer func() { h.adviser.give(address, cost, err != nil) }()
 	if address == h.PeerAddress {
 		return h.Targets.Advise(ctx, order)
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -74,11 +74,14 @@
 	relay    *kvstore.Relay
 	store    *kvstore.Client
 	tables   atomic.Pointer[work.Tables]
+	read     atomic.Int64 // when the configuration was last read, Unix nanoseconds
+	fresh    atomic.Int64 // until when the owner vouches that it has not changed
 	ready    atomic.Bool
 	stopping atomic.Bool
 	group    sync.WaitGroup
 	started  time.Time
 	runCtx   context.Context // ends with the process
+	look     chan struct{}   // asks for a read of the cell's rows
 	adviser  adviser
 	stats    *Stats
 
@@ -120,6 +123,7 @@
 		members:  map[string]memberRow{},
 		heard:    map[string]time.Time{},
 		started:  time.Now(),
+		look:     make(chan struct{}, 1),
 		stats:    newStats(),
 	}
 	h.view.Store(&view{})
@@ -151,7 +155,7 @@
 		Direct: h.DirectStore, Through: h.storeThroughPeer, DirectTimeout: directTimeout, Changed: h.directChanged,
 	}
 	h.store = &kvstore.Client{Do: h.relay.Do, Timeout: storeTimeout}
-	h.adviser.busy = map[string]time.Duration{}
+	h.adviser.busy, h.adviser.rest = map[string]time.Duration{}, map[string]time.Time{}
 	listener, err := h.Listen(h.PeerAddress)
 	if err != nil {
 		return err
@@ -260,7 +264,23 @@
 
 // tablesPeriod is the time between two reads of the configuration. A watch can
 // be silent, so the version is polled; it has to be in force within two seconds.
-const tablesPeriod = 400 * time.Millisecond
+// While the owner's heartbeats vouch for the version, only the owner reads.
+const tablesPeriod = 300 * time.Millisecond
+
+// vouchedFor is how long a heartbeat's answer vouches for the version in force.
+const vouchedFor = 600 * time.Millisecond
+
+// tablesRead returns when this host last read the configuration.
+func (h *Host) tablesRead() time.Time { return time.Unix(0, h.read.Load()) }
+
+// vouch takes in the version that the owner has read a moment ago.
+func (h *Host) vouch(reply *beatReply) {
+	tables := h.tables.Load()
+	if tables == nil || reply.Version != tables.Version || reply.ReadAge > vouchedFor.Milliseconds() {
+		return
+	}
+	h.fresh.Store(time.Now().Add(vouchedFor).UnixNano())
+}
 
 // tablesOld is the age of the last read from which it is logged as stale.
 const tablesOld = 2 * time.Second
@@ -271,11 +291,17 @@
 	last := time.Now()
 	stale := false
 	for ctx.Err() == nil {
+		if time.Now().UnixNano() < h.fresh.Load() {
+			last = time.Now()
+			pause(ctx, tablesPeriod/4)
+			continue
+		}
 		item, err := h.store.Get(ctx, h.Lists.TablesKey)
 		switch {
 		case err == nil && item.Revision > 0:
 			h.applyTables(item.Value)
 			last = time.Now()
+			h.read.Store(last.UnixNano())
 			if stale {
 				stale = false
 				event.TablesFresh.Log(h.Log).Send()
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -53,24 +53,23 @@
 }
 
 const (
-	// cellPeriod is the time between two reads of the cell's rows.
-	cellPeriod = 500 * time.Millisecond
-	// suspectPeriod replaces it while the owner is suspected.
+	// cellPeriod is the time between two reads of the cell's rows while the
+	// owner answers heartbeats.
+	cellPeriod = 1500 * time.Millisecond
+	// suspectPeriod replaces it while the owner is suspected or unknown.
 	suspectPeriod = 150 * time.Millisecond
 	// beatPeriod is the time between two heartbeats to the owner.
 	beatPeriod = 200 * time.Millisecond
 	// beatTimeout bounds one heartbeat.
-	beatTimeout = 500 * time.Millisecond
+	beatTimeout = 350 * time.Millisecond
 	// ownerBeatPeriod is the time between two marks that the owner leaves in
 	// the store as a sign of life to hosts that cannot reach it.
-	ownerBeatPeriod = 300 * time.Millisecond
+	ownerBeatPeriod = 200 * time.Millisecond
 	// ownerSilence is how long the mark must stand still before a silent owner
 	// is replaced: three of its periods.
-	ownerSilence = 900 * time.Millisecond
+	ownerSilence = 600 * time.Millisecond
 	// claimStep staggers the claims of several hosts, by rank.
 	claimStep = 30 * time.Millisecond
-	// memberExpiry is how long a host may be unheard of before its row is removed.
-	memberExpiry = time.Minute
 )
 
 // followCell registers this host and reads the cell's rows.
@@ -91,7 +90,20 @@
 			})
 			h.considerClaim(ctx)
 		}
-		pause(ctx, period)
+		select {
+		case <-h.look:
+			pause(ctx, suspectPeriod)
+		case <-time.After(period):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// lookNow has the cell's rows read soon.
+func (h *Host) lookNow() {
+	select {
+	case h.look <- struct{}{}:
+	default:
 	}
 }
 
@@ -191,10 +203,12 @@
 		cancel()
 		gone := err != nil && refusedConnection(err) || err == nil && reply.Instance != v.owner.Instance
 		if err == nil && !gone && reply.Owner {
+			h.vouch(reply)
 			h.loop.Post(func() { h.suspect = suspicion{} })
 			continue
 		}
 		_ = h.loop.Call(ctx, func() { h.suspectOwner(v.owner, gone, err) })
+		h.lookNow()
 		if gone {
 			h.considerClaim(ctx)
 		}
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -150,7 +151,10 @@
 	}
 	resp, err = c.Do(ctx, req)
 	if err != nil {
-		c.lastBad.Store(time.Now().UnixNano())
+		// A call that its caller gave up says nothing about the store.
+		if !errors.Is(context.Cause(ctx), context.Canceled) && !errs.Is(err, ErrCompacted) {
+			c.lastBad.Store(time.Now().UnixNano())
+		}
 		return Response{}, err
 	}
 	c.lastGood.Store(time.Now().UnixNano())
--- a/internal/kvstore/relay.go
+++ b/internal/kvstore/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,9 @@
 	tryCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err = r.Direct(tryCtx, req)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return resp, err
+	}
 	failing := err != nil && !errs.Is(err, ErrCompacted)
 	if failing {
 		r.nextTry.Store(time.Now().Add(directRetry).UnixNano())
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -40,6 +40,28 @@
 	return cmp.Compare(a.Deadline, b.Deadline)
 }
 
+// Reserve keeps room for urgent work that has not come yet. It answers a burst
+// of short urgent jobs while long jobs fill the cell: the long ones have time,
+// and what they hold is free again only after seconds.
+type Reserve struct {
+	Share float64 // of the capacity that work with time to spare leaves free
+}
+
+// politeSlack is the part of its allowance that work may lose by waiting
+// before it takes the reserve as well.
+const politeSlack = 0.35
+
+// Admits reports whether work may take want of the free room. Allowance is the
+// time from submission to deadline, slack what is left of it beyond the work.
+func (r Reserve) Admits(free, total, want resource.Vector, slack, allowance time.Duration) bool {
+	if float64(slack) < politeSlack*float64(allowance) {
+		return true
+	}
+	rest := free.Sub(want)
+	return float64(rest.MilliCores) >= r.Share*float64(total.MilliCores) &&
+		float64(rest.MemoryMB) >= r.Share*float64(total.MemoryMB)
+}
+
 // Room is what a worker offers to a task.
 type Room struct {
 	Free    resource.Vector
