perf: keep some hosts free of heavy questions to the adviser

Cause: waits of 0.45 to 0.55 s for urgent steps while there was room: their questions (27 ms) stood behind heavy ones (500 ms) at the adviser, which takes one at a time from each host. Ruled out: room (nodes free at the time).

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -57,22 +57,22 @@
 // to be allowed go first, those known not to be are left out.
 func (o *Owner) askAdvice(s *step, nodes []*node, waiting int, now time.Duration) {
 	a := &s.advice
-	if a.busy || now < a.retryAt || o.advising >= o.Advisers() {
+	policy := s.job.queue.Advice
+	if a.busy || now < a.retryAt || o.advising[policy.Decide] >= o.Advisers(policy.Decide) {
 		return
 	}
 	names, lives := o.adviceCandidates(s, nodes, waiting, now)
 	if len(names) == 0 {
 		return
 	}
-	policy := s.job.queue.Advice
 	cost := policy.Decide + time.Duration(len(names))*policy.Each
 	order := work.AdviceOrder{Step: work.TaskRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.number}.StepName(), Workers: names}
 	a.busy = true
-	o.advising++
+	o.advising[policy.Decide]++
 	o.Counters.AdviceAsked++
 	o.Advise(order, cost, func(report work.AdviceReport, err error) {
 		a.busy = false
-		o.advising--
+		o.advising[policy.Decide]--
 		o.changed = true
 		if err != nil {
 			o.Counters.AdviceFailed++
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -60,8 +60,8 @@
 	Epoch  int64
 	Log    zerolog.Logger
 	Bounds Bounds
-	// Advisers bounds the questions to the adviser under way.
-	Advisers func() int
+	// Advisers bounds the questions under way that cost as much as a given one.
+	Advisers func(cost time.Duration) int
 	// Now reads a steady clock that also counts suspensions.
 	Now func() time.Duration
 	// Wall reads the time of day since 1970.
@@ -101,7 +101,7 @@
 	nextPass   time.Duration
 	nextScan   time.Duration
 	nextForget time.Duration
-	advising   int // questions to the adviser under way
+	advising   map[time.Duration]int // questions under way, by the fixed part of their cost
 	ratios     map[string]*ratio
 	deposed    bool
 	draining   bool
@@ -117,13 +117,14 @@
 // New returns an Owner without jobs and workers.
 func New() *Owner {
 	return &Owner{
-		Log:    zerolog.Nop(),
-		jobs:   map[string]*job{},
-		nodes:  map[string]*node{},
-		usage:  map[string]resource.Vector{},
-		rates:  map[string]*sched.Allowance{},
-		dirty:  map[*job]bool{},
-		ratios: map[string]*ratio{},
+		Log:      zerolog.Nop(),
+		jobs:     map[string]*job{},
+		nodes:    map[string]*node{},
+		usage:    map[string]resource.Vector{},
+		rates:    map[string]*sched.Allowance{},
+		dirty:    map[*job]bool{},
+		ratios:   map[string]*ratio{},
+		advising: map[time.Duration]int{},
 	}
 }
 
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -211,7 +211,7 @@
 	o.Tables = func() *work.Tables { return s.tables }
 	o.StoreUp = func() bool { return !s.store.down }
 	o.StoreLost = func() time.Duration { return s.now - s.store.lost }
-	o.Advisers = func() int { return 4 }
+	o.Advisers = func(time.Duration) int { return 4 }
 	o.Deposed = func(reason string) { s.note("epoch %d deposed: %s", o.Epoch, reason) }
 	o.Start = func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error)) {
 		simOrder(o, w, func(sw *simWorker) (work.OrderReport, error) { return sw.start(order) }, done)
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -270,9 +270,29 @@
 // adviserRest is how long a host through which a question failed is left out.
 const adviserRest = 2 * time.Second
 
-// relayCost is the weight of a question through another host, so that a host
-// asks itself first.
-const relayCost = 3 * time.Millisecond
+// heavyAdvice is the cost from which a question counts as heavy.
+const heavyAdvice = 100 * time.Millisecond
+
+// lightShare is one part of how many hosts is kept for light questions: they
+// would wait for seconds behind heavy ones.
+const lightShare = 3
+
+// lane returns the hosts that may ask a question of the given cost. All but
+// the heaviest keep to the first hosts, where no heavy one is ever asked.
+func lane(addresses []string, cost time.Duration) []string {
+	light := (len(addresses) + lightShare - 1) / lightShare
+	switch {
+	case len(addresses) <= 1:
+		return addresses
+	case cost < heavyAdvice:
+		return addresses[:light]
+	}
+	return addresses[light:]
+}
+
+// relayCost is the weight of each next host, so that a host asks itself first
+// and light questions stay with few connections.
+const relayCost = time.Millisecond
 
 func (a *adviser) take(addresses []string, cost time.Duration) (best string) {
 	a.mu.Lock()
@@ -283,10 +303,7 @@
 		if i > 0 && now.Before(a.rest[address]) {
 			continue
 		}
-		load := a.busy[address]
-		if i > 0 {
-			load += relayCost
-		}
+		load := a.busy[address] + time.Duration(i)*relayCost
 		if best == "" || load < least {
 			best, least = address, load
 		}
@@ -314,7 +331,7 @@
 			addresses = append(addresses, m.Address)
 		}
 	}
-	address := h.adviser.take(addresses, cost)
+	address := h.adviser.take(lane(addresses, cost), cost)
 	defer func() { h.adviser.give(address, cost, err != nil) }()
 	if address == h.PeerAddress {
 		return h.Targets.Advise(ctx, order)
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -163,7 +163,13 @@
 	o.Now, o.Wall = boot, wall
 	o.Tables = h.Tables
 	o.StoreUp, o.StoreLost = h.storeUp, h.storeLost
-	o.Advisers = func() int { return advisersPerHost * max(len(h.members), 1) }
+	o.Advisers = func(cost time.Duration) int {
+		hosts := make([]string, max(len(h.members), 1))
+		if cost < heavyAdvice {
+			return lightPerHost * len(lane(hosts, cost))
+		}
+		return heavyPerHost * len(lane(hosts, cost))
+	}
 	o.Deposed = func(reason string) {
 		if h.own == o {
 			h.release(reason)
@@ -206,8 +212,10 @@
 	holdTimeout = 500 * time.Millisecond
 	// adviceTimeout bounds a question to the adviser, with its waiting in turn.
 	adviceTimeout = 3 * time.Second
-	// advisersPerHost bounds the questions that may wait at one host.
-	advisersPerHost = 3
+	// lightPerHost and heavyPerHost bound the questions that wait at one host.
+	// What waits here goes by rank, what waits at the adviser by arrival.
+	lightPerHost = 4
+	heavyPerHost = 1
 )
 
 // callTarget makes a call elsewhere and brings its result to the control goroutine.
