--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -111,7 +111,8 @@
 			}
 			g := group{step: s, rank: o.rank(s)}
 			g.allowance = g.rank.Deadline - max(j.spec.Accepted, j.spec.Due(s.occurrence))
-			g.slack = g.rank.Deadline - wall - o.chain(j)
+			g.slack = g.rank.Deadline - wall - o.remaining(s)
+			g.rank.Late = g.slack < 0 && !s.spec.LongRunning
 			for _, t := range s.tasks {
 				if t.waiting(now) {
 					g.tasks = append(g.tasks, t)
@@ -155,6 +156,24 @@
 	return longest
 }
 
+// remaining returns the longest chain of estimated work from a step on.
+func (o *Owner) remaining(s *step) (longest time.Duration) {
+	spec := s.job.spec
+	ends := make([]time.Duration, len(spec.Steps))
+	for i := s.number; i < len(spec.Steps); i++ {
+		var begin time.Duration
+		for _, before := range spec.Steps[i].After {
+			begin = max(begin, ends[before])
+		}
+		if i > s.number && begin == 0 {
+			continue // does not depend on the step
+		}
+		ends[i] = begin + spec.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // rooms describes the workers that may run the step's tasks.
 func (o *Owner) rooms(s *step, nodes []*node, now time.Duration) (rooms []sched.Room, usable []*node) {
 	advised := s.job.queue.Advice != nil
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,7 +81,8 @@
 	group    sync.WaitGroup
 	started  time.Time
 	runCtx   context.Context // ends with the process
-	look     chan struct{}   // asks for a read of the cell's rows
+	abort    context.CancelFunc
+	look     chan struct{} // asks for a read of the cell's rows
 	adviser  adviser
 	stats    *Stats
 
@@ -128,9 +129,22 @@
 	}
 	h.view.Store(&view{})
 	h.SetSeeds(nil)
+	h.runCtx, h.abort = context.WithCancel(context.Background())
 	return h
 }
 
+// Abort ends the process's work at once, as a crash would.
+func (h *Host) Abort() { h.abort() }
+
+// Owner reports whether this host owns the cell.
+func (h *Host) Owner() (owner bool) {
+	_ = h.loop.Call(h.runCtx, func() { owner = h.own != nil })
+	return owner
+}
+
+// Members returns the number of hosts that are known from the store.
+func (h *Host) Members() int { return len(h.view.Load().members) }
+
 // SetSeeds sets the peer addresses of some other hosts, possibly stale. They
 // are asked while no host is known from the store.
 func (h *Host) SetSeeds(seeds []string) { h.seeds.Store(&seeds) }
@@ -160,9 +174,8 @@
 	if err != nil {
 		return err
 	}
-	runCtx, cancel := context.WithCancel(context.Background())
+	runCtx, cancel := h.runCtx, h.abort
 	defer cancel()
-	h.runCtx = runCtx
 	h.spawn(func() { h.loop.Run(runCtx) })
 	h.spawn(func() {
 		if err := peer.Serve(runCtx, listener, h.mux()); err != nil && runCtx.Err() == nil {
@@ -174,8 +187,11 @@
 	h.spawn(func() { h.watchOwner(runCtx) })
 	h.spawn(func() { h.tick(runCtx) })
 	event.Started.Log(h.Log).Str("instance", h.instance).Str("place", h.Place).Str("peer", h.PeerAddress).Send()
-	<-ctx.Done()
-	h.stop(runCtx)
+	select {
+	case <-ctx.Done():
+		h.stop(runCtx)
+	case <-runCtx.Done():
+	}
 	cancel()
 	_ = h.peers.Close()
 	h.group.Wait()
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,26 +20,40 @@
 
 // Rank orders work that waits for room.
 type Rank struct {
+	Late     bool          // the deadline can no longer be met
 	Priority int           // of the queue; 0 comes first
 	Excess   bool          // beyond the rate that the team's weight entitles it to
 	Deadline time.Duration // by which the work should have ended
 }
 
-// Compare orders by priority, then entitled work before excess, then by
-// deadline. It answers a flood from one team: the others' work goes first.
+// Compare orders what can still meet its deadline before what cannot, then by
+// priority, then entitled work before excess, then by deadline. It answers two
+// loads: a flood from one team, where the others' work goes first, and a burst
+// beyond the capacity, where plain deadline order would make all work late.
 func Compare(a, b Rank) int {
+	if c := compareBool(a.Late, b.Late); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
-	if a.Excess != b.Excess {
-		if a.Excess {
-			return 1
-		}
-		return -1
+	if c := compareBool(a.Excess, b.Excess); c != 0 {
+		return c
 	}
 	return cmp.Compare(a.Deadline, b.Deadline)
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // Reserve keeps room for urgent work that has not come yet. It answers a burst
 // of short urgent jobs while long jobs fill the cell: the long ones have time,
 // and what they hold is free again only after seconds.
--- /dev/null
+++ b/internal/sched/sched_test.go
@@ -0,0 +1,218 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericspread.org/turmericspread/internal/resource"
+)
+
+func cores(n int64) resource.Vector { return resource.Vector{MilliCores: 1000 * n, MemoryMB: 1000 * n} }
+
+func TestCompare(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		first, second Rank
+	}{
+		{"a higher priority goes first", Rank{Priority: 0, Deadline: 9}, Rank{Priority: 1, Deadline: 1}},
+		{"within a priority the entitled go first", Rank{Deadline: 9}, Rank{Excess: true, Deadline: 1}},
+		{"then the earlier deadline", Rank{Deadline: 1}, Rank{Deadline: 2}},
+		{"what is late goes last", Rank{Priority: 2, Excess: true, Deadline: 9}, Rank{Late: true}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Assert(t, Compare(tc.first, tc.second) < 0)
+			assert.Assert(t, Compare(tc.second, tc.first) > 0)
+			assert.Equal(t, Compare(tc.first, tc.first), 0)
+		})
+	}
+}
+
+func TestChoose(t *testing.T) {
+	rooms := []Room{
+		{Free: cores(8), Rack: "a", Most: 9},
+		{Free: cores(2), Rack: "b", Most: 9},
+		{Free: cores(2), Rack: "a", Most: 0},
+		{Free: cores(1), Rack: "a", Most: 9, Penalty: 2},
+	}
+	for _, tc := range []struct {
+		name string
+		want resource.Vector
+		best int
+	}{
+		{"the tightest room without a penalty", cores(1), 1},
+		{"the only one that fits", cores(4), 0},
+		{"none fits", cores(9), -1},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, Choose(rooms, tc.want), tc.best) })
+	}
+}
+
+func TestChooseAll(t *testing.T) {
+	rooms := []Room{
+		{Free: cores(4), Rack: "a", Most: 9},
+		{Free: cores(3), Rack: "b", Most: 9},
+		{Free: cores(3), Rack: "b", Most: 9},
+	}
+	for _, tc := range []struct {
+		name  string
+		count int
+		same  bool
+		picks []int
+	}{
+		{"one rack holds all", 6, true, []int{1, 1, 1, 2, 2, 2}},
+		{"no rack holds all", 8, true, []int{1, 1, 1, 2, 2, 2, 0, 0}},
+		{"all or none", 11, false, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			picks := ChooseAll(rooms, cores(1), tc.count, Spread{SameRack: tc.same})
+			assert.DeepEqual(t, picks, tc.picks)
+		})
+	}
+	assert.Equal(t, rooms[0].Most, 9, "the rooms are left as they are")
+}
+
+func TestReserve(t *testing.T) {
+	r := Reserve{Share: 0.2}
+	for _, tc := range []struct {
+		name    string
+		free    int64
+		slack   time.Duration
+		admits  bool
+		allowed time.Duration
+	}{
+		{"room beyond the reserve", 5, 9 * time.Second, true, 10 * time.Second},
+		{"the reserve is left free", 2, 9 * time.Second, false, 10 * time.Second},
+		{"unless time is short", 2, time.Second, true, 10 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, r.Admits(cores(tc.free), cores(10), cores(1), tc.slack, tc.allowed), tc.admits)
+		})
+	}
+}
+
+func TestAllowance(t *testing.T) {
+	var a Allowance
+	entitled := 0
+	for i := range 100 {
+		if a.Take(time.Duration(i)*100*time.Millisecond, 5) {
+			entitled++
+		}
+	}
+	// Ten seconds at five a second, and a burst of two seconds.
+	assert.Assert(t, entitled >= 55 && entitled <= 60, "%d of 100", entitled)
+}
+
+func TestPace(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		percent int
+		ratio   float64
+		want    int
+	}{
+		{"over the target: halted", 100, 1.2, 0},
+		{"near the target: halved", 100, 0.9, 50},
+		{"halved to nothing", 15, 0.9, 0},
+		{"in between: kept", 50, 0.7, 50},
+		{"relaxed: raised", 50, 0.2, 65},
+		{"never above full", 95, 0.2, 100},
+	} {
+		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, Pace(tc.percent, tc.ratio), tc.want) })
+	}
+}
+
+// load is one job of a replayed load: one task on one of several servers.
+type load struct {
+	arrives, takes, deadline time.Duration
+	rank                     Rank
+}
+
+// replay serves a load on a number of servers in the order of compare and
+// returns how many jobs met their deadline.
+func replay(jobs []load, servers int, compare func(a, b Rank) int) (inTime int) {
+	const step = 10 * time.Millisecond
+	free := make([]time.Duration, servers)
+	waiting := []load{}
+	next := 0
+	for now := time.Duration(0); next < len(jobs) || len(waiting) > 0; now += step {
+		for next < len(jobs) && jobs[next].arrives <= now {
+			waiting = append(waiting, jobs[next])
+			next++
+		}
+		for i := range waiting {
+			waiting[i].rank.Late = now+waiting[i].takes > waiting[i].deadline
+		}
+		slices.SortStableFunc(waiting, func(a, b load) int { return compare(a.rank, b.rank) })
+		for i := range free {
+			if free[i] > now || len(waiting) == 0 {
+				continue
+			}
+			job := waiting[0]
+			waiting = waiting[1:]
+			free[i] = now + job.takes
+			if free[i] <= job.deadline {
+				inTime++
+			}
+		}
+	}
+	return inTime
+}
+
+// burst returns jobs of which twice the capacity of ten servers arrives for
+// four seconds, and half of it before and after.
+func burst(seed uint64) (jobs []load) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	for now := time.Duration(0); now < 12*time.Second; now += 20 * time.Millisecond {
+		chance := 0.1
+		if now > 3*time.Second && now < 7*time.Second {
+			chance = 0.4
+		}
+		if rng.Float64() > chance {
+			continue
+		}
+		deadline := now + 1750*time.Millisecond
+		jobs = append(jobs, load{now, time.Second, deadline, Rank{Deadline: deadline}})
+	}
+	return jobs
+}
+
+// TestLateWorkDoesNotDelayTheRest replays a burst of small urgent jobs: by
+// deadline alone each job waits for those that are late already.
+func TestLateWorkDoesNotDelayTheRest(t *testing.T) {
+	byDeadline := func(a, b Rank) int { return int(a.Deadline - b.Deadline) }
+	var ranked, plain, total int
+	for seed := range uint64(10) {
+		jobs := burst(seed)
+		total += len(jobs)
+		ranked += replay(jobs, 7, Compare)
+		plain += replay(jobs, 7, byDeadline)
+	}
+	t.Logf("in time of %d: late last %d, by deadline alone %d", total, ranked, plain)
+	assert.Assert(t, ranked > plain+total/20)
+}
+
+// TestFloodOfOneTeam replays a team that sends many times its usual: the other
+// teams are served as if it were not there.
+func TestFloodOfOneTeam(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	var jobs []load
+	others := 0
+	var flood Allowance
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		deadline := now + 1750*time.Millisecond
+		if rng.Float64() < 0.05 {
+			jobs = append(jobs, load{now, time.Second, deadline, Rank{Deadline: deadline}})
+			others++
+		}
+		if rng.Float64() < 0.3 {
+			rank := Rank{Deadline: deadline, Excess: !flood.Take(now, 3)}
+			jobs = append(jobs, load{now, time.Second, deadline, rank})
+		}
+	}
+	entitled := slices.DeleteFunc(slices.Clone(jobs), func(j load) bool { return j.rank.Excess })
+	assert.Assert(t, replay(jobs, 10, Compare) >= replay(entitled, 10, Compare))
+	assert.Assert(t, len(entitled) > others, "the flooding team keeps its own rate")
+}
