fix: start a gang whole or stop it at once

The others are stopped at once now, and starts that were not sent yet are taken back together. Ruled out: members sent too far apart (they go in one pass).

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -158,6 +158,28 @@
 	s.assertState("a", work.StateCompleted)
 }
 
+// TestGangIsWholeOrStopped refuses one member of a gang: the others are stopped
+// at once, and the gang is started again with one run number.
+func TestGangIsWholeOrStopped(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.workers["w01"].refuse = work.ErrNoRoom
+	s.claim()
+	gang := tasksOf(16, 4*time.Second)
+	gang.Gang = true
+	s.submit("a", gang)
+	for range 100 {
+		s.run(s.now + 50*time.Millisecond)
+		for _, w := range s.workers {
+			for name, r := range w.runs {
+				assert.Assert(t, s.now-r.begun < 1200*time.Millisecond, "%s waits on %s for the others", name, w.w.ID)
+			}
+		}
+	}
+	s.workers["w01"].refuse = nil
+	s.run(15 * time.Second)
+	s.assertState("a", work.StateCompleted)
+}
+
 // TestBadWorkerIsQuarantined keeps a worker that fails all it starts from using
 // up the attempts of many jobs.
 func TestBadWorkerIsQuarantined(t *testing.T) {
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -123,18 +123,48 @@
 	if o.deposed {
 		return
 	}
-	for _, t := range j.tasks {
-		for _, r := range slices.Clone(t.runs) {
-			if r.state != runPlanned || r.version > version && o.StoreUp() {
-				continue
+	if !o.StoreUp() && !o.confirmed(o.Now()) {
+		return
+	}
+	for _, s := range j.steps {
+		var due []*run
+		for _, t := range s.tasks {
+			for _, r := range t.runs {
+				if r.state == runPlanned && (r.version <= version || !o.StoreUp()) {
+					due = append(due, r)
+				}
 			}
-			switch {
-			case !o.StoreUp() && !o.confirmed(o.Now()):
-			case r.stopping || !r.node.usable(o.Now()) || r.born != r.node.born:
-				// Nothing was sent: the task waits again.
-				o.detach(r)
-			default:
-				o.send(r)
+		}
+		o.sendAll(s, due)
+	}
+}
+
+// sendAll sends the starts of a step. Those whose worker has gone meanwhile are
+// taken back, and with them all others of a gang: nothing of it was sent yet.
+func (o *Owner) sendAll(s *step, due []*run) {
+	now := o.Now()
+	sound := func(r *run) bool { return !r.stopping && r.node.usable(now) && r.born == r.node.born }
+	whole := !s.spec.Gang || !slices.ContainsFunc(due, func(r *run) bool { return !sound(r) })
+	for _, r := range due {
+		if whole && sound(r) {
+			o.send(r)
+		} else {
+			o.detach(r)
+		}
+	}
+}
+
+// breakGang stops the other members of a gang that cannot all be present, so
+// that they need not wait for the missing one.
+func (o *Owner) breakGang(missing *run, reason string) {
+	s := missing.task.step
+	if !s.spec.Gang {
+		return
+	}
+	for _, t := range s.tasks {
+		for _, r := range slices.Clone(t.runs) {
+			if r != missing && r.number == missing.number {
+				o.stopRun(r, reason)
 			}
 		}
 	}
@@ -216,6 +246,7 @@
 		event.CellStartUnknown.Log(o.Log).Str("task", r.task.ref().String()).Int64("run", r.number).Str("worker", n.w.ID).
 			Err(err).Send()
 		o.stopRun(r, "start not answered")
+		o.breakGang(r, "a member of the gang did not answer")
 	}
 }
 
@@ -237,6 +268,7 @@
 		t.retryAt = now + refusedRest
 	}
 	o.detach(r)
+	o.breakGang(r, "a member of the gang was refused")
 }
 
 const (
@@ -357,4 +389,5 @@
 	event.CellRunLost.Log(o.Log).Str("task", r.task.ref().String()).Int64("run", r.number).Str("worker", r.node.w.ID).
 		Str("reason", reason).Send()
 	o.detach(r)
+	o.breakGang(r, "a member of the gang was lost")
 }
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -101,6 +101,7 @@
 	unlisted bool
 	fails    bool // fails all that it starts
 	waiters  []func()
+	refuse   error // answer to every start
 }
 
 type simRun struct {
@@ -448,6 +449,8 @@
 func (w *simWorker) start(order work.StartOrder) (work.OrderReport, error) {
 	name := order.Task.String()
 	switch {
+	case w.refuse != nil:
+		return work.OrderReport{}, w.refuse
 	case order.Fence < w.fence:
 		return work.OrderReport{}, work.ErrFenced
 	case order.Deadline < w.clock():
