--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -104,7 +104,6 @@
 	advising   map[time.Duration]int // questions under way, by the fixed part of their cost
 	ratios     map[string]*ratio
 	deposed    bool
-	draining   bool
 }
 
 // Counters count what the owner did; they feed the metrics.
@@ -167,15 +166,6 @@
 // Deactivate ends all decisions, as for a planned hand-over.
 func (o *Owner) Deactivate() { o.deposed = true }
 
-// Drain stops starting new work; Idle tells when all is recorded.
-func (o *Owner) Drain() { o.draining = true }
-
-// Idle reports whether no record is waiting to be written.
-func (o *Owner) Idle() bool { return o.saves == 0 && len(o.dirty) == 0 }
-
-// Active reports whether the owner decides.
-func (o *Owner) Active() bool { return !o.deposed }
-
 // State returns a job's state; ok is false if the job is not known here.
 func (o *Owner) State(id string) (state work.State, team string, ok bool) {
 	j, ok := o.jobs[id]
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -35,7 +35,7 @@
 
 // schedule places what waits, best rank first.
 func (o *Owner) schedule(now time.Duration) {
-	if o.draining || now < o.settling && !o.allHeard() {
+	if now < o.settling && !o.allHeard() {
 		o.changed = true
 		return
 	}
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -1,8 +1,10 @@
 package host
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -360,7 +362,8 @@
 	return alive
 }
 
-// successors lists the hosts heard lately, strongest first.
+// successors lists the hosts heard lately: strong ones first, then those that
+// started last. In a rolling restart these are not stopped again.
 func (h *Host) successors() (list []memberRow) {
 	alive := h.aliveAddresses()
 	for _, m := range h.view.Load().members {
@@ -368,6 +371,12 @@
 			list = append(list, m)
 		}
 	}
+	slices.SortStableFunc(list, func(a, b memberRow) int {
+		if c := cmp.Compare(b.Power, a.Power); c != 0 {
+			return c
+		}
+		return cmp.Compare(b.Started, a.Started)
+	})
 	return list
 }
 
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -72,15 +72,14 @@
 
 // takeOver loads the cell and begins to decide about it.
 func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64) (err error) {
-	jobs, watchFrom, err := h.store.List(ctx, jobPrefix)
-	if err != nil {
-		return err
-	}
-	progress, _, err := h.store.List(ctx, progressPrefix)
-	if err != nil {
-		return err
-	}
-	workers, err := h.listWorkers(ctx)
+	var jobs, progress []kvstore.Item
+	var workers []work.Worker
+	var watchFrom int64
+	err = together(
+		func() (err error) { jobs, watchFrom, err = h.store.List(ctx, jobPrefix); return err },
+		func() (err error) { progress, _, err = h.store.List(ctx, progressPrefix); return err },
+		func() (err error) { workers, err = h.listWorkers(ctx); return err },
+	)
 	if err != nil {
 		return err
 	}
@@ -109,6 +108,20 @@
 	return nil
 }
 
+// together runs functions at the same time and returns their errors: with a
+// slow store each answer takes a quarter of a second.
+func together(fns ...func() error) (err error) {
+	results := make(chan error, len(fns))
+	for _, fn := range fns {
+		go func() { results <- fn() }()
+	}
+	var group errs.Group
+	for range fns {
+		group.Add(<-results)
+	}
+	return group.Err()
+}
+
 func (h *Host) decodeStored(jobs, progress []kvstore.Item) (stored []cell.Stored) {
 	byID := map[string]int{}
 	for i := range jobs {
@@ -402,8 +415,21 @@
 	}
 }
 
-// handOver asks another host to claim the cell, and waits until it has.
+// handOver has another host claim the cell, and waits until it has.
 func (h *Host) handOver(ctx context.Context) {
+	for ctx.Err() == nil {
+		owner, handed := h.handOverOnce(ctx)
+		if !owner || handed {
+			return
+		}
+		// No successor was heard of yet, or none could claim.
+		pause(ctx, handOverRetry)
+	}
+}
+
+// handOverOnce asks the present candidates in turn. Owner is false if there is
+// nothing to hand over.
+func (h *Host) handOverOnce(ctx context.Context) (owner, handed bool) {
 	var row ownerRow
 	var revision int64
 	var candidates []memberRow
@@ -411,14 +437,17 @@
 		if h.own == nil {
 			return
 		}
-		h.own.Drain()
+		owner = true
 		row, revision = h.row, h.rowRev
 		candidates = h.successors()
 	})
 	if err != nil {
-		return
+		return false, false
 	}
 	for _, m := range candidates {
+		if ctx.Err() != nil {
+			return owner, false
+		}
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		reply, err := peer.Call[handOverRequest, handOverReply](callCtx, h.peers, m.Address, callHandOver, &handOverRequest{
 			Owner: row, Revision: revision,
@@ -427,10 +456,14 @@
 		if err == nil && reply.Taken {
 			event.CellReleased.Log(h.Log).Str("to", m.Name).Int64("epoch", row.Epoch).Send()
 			_ = h.loop.Call(ctx, func() { h.release("handed over to " + m.Name) })
-			return
+			return owner, true
 		}
 	}
+	return owner, false
 }
 
+// handOverRetry is the pause between two rounds of asking for a successor.
+const handOverRetry = 100 * time.Millisecond
+
 // handOverTimeout bounds the claim and the loading by one successor.
 const handOverTimeout = 1500 * time.Millisecond
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -43,6 +43,7 @@
 	Instance string  `cbor:"2,keyasint"`
 	Address  string  `cbor:"3,keyasint"`
 	Power    float64 `cbor:"4,keyasint,omitempty"`
+	Started  int64   `cbor:"5,keyasint,omitempty"` // Unix milliseconds
 }
 
 // suspicion is what speaks against the present owner.
@@ -84,7 +85,7 @@
 		if err == nil {
 			_ = h.loop.Call(ctx, func() {
 				h.applyCell(items)
-				if !h.suspect.since.IsZero() || !h.rowKnown {
+				if !h.suspect.since.IsZero() || h.rowRev == 0 {
 					period = suspectPeriod
 				}
 			})
@@ -108,7 +109,9 @@
 }
 
 func (h *Host) register(ctx context.Context) (done bool) {
-	value, err := cbor.Marshal(memberRow{Name: h.Name, Instance: h.instance, Address: h.PeerAddress, Power: h.Power})
+	value, err := cbor.Marshal(memberRow{
+		Name: h.Name, Instance: h.instance, Address: h.PeerAddress, Power: h.Power, Started: h.started.UnixMilli(),
+	})
 	if err != nil {
 		h.Log.Error().Err(err).Msg("member row cannot be encoded")
 		return false
