--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -66,27 +66,6 @@
 	}
 }
 
-const (
-	// retrySoon is when a client may come back after a short failure: changes of
-	// ownership and single refusals are over by then.
-	retrySoon = time.Second
-	// retryLater is when a client may come back during an outage of the store.
-	// Clients try a few times only, and outages last for several seconds.
-	retryLater = 2 * time.Second
-	// longOutage is from when an outage is not expected to end within a second.
-	longOutage = 1500 * time.Millisecond
-)
-
-// RetryAfter returns when a client whose call was refused should come back.
-func (h *Host) RetryAfter() time.Duration { return retryAfter(time.Since(h.store.LastGood())) }
-
-func retryAfter(away time.Duration) time.Duration {
-	if away < longOutage {
-		return retrySoon
-	}
-	return retryLater
-}
-
 // submitRetry is the pause between two tries to store a job.
 const submitRetry = 60 * time.Millisecond
 
