fix: a new owner reaches the workers whose entries lapsed in an outage

It was killed; the store returned with the entries of many workers lapsed, so its successor took the few listed ones for all, saw them answer, and started again what ran on the others. Ruled out: orders carried out late (their deadline is 1.5 s), a missed fence (the workers in question had not been called). The owner now records which workers there are; its successor holds all of them and starts nothing until they have answered, or cannot run anything any more.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -138,6 +138,38 @@
 	s.assertState("a", work.StateCompleted)
 }
 
+// TestOwnerLostDuringOutage kills the owner while the store is away and it
+// starts work without records. The entries of the workers have lapsed when the
+// successor begins: it must not start what still runs on workers it cannot see.
+func TestOwnerLostDuringOutage(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("a worker is cut off: %v", cut), func(t *testing.T) {
+			s := newSim(t, 1, 4)
+			s.claim()
+			s.run(time.Second)
+			first := tasksOf(4, time.Second)
+			second := tasksOf(8, 5*time.Second)
+			second.After = []int{0}
+			s.submit("a", first, second)
+			s.run(1500 * time.Millisecond)
+			s.store.down = true
+			s.run(4500 * time.Millisecond)
+			s.owner.dead = true
+			s.store.lost = s.now
+			s.store.down = false
+			s.lapsed = true
+			if cut {
+				s.workers["w02"].cutFor(3 * time.Second)
+			}
+			s.claim()
+			s.run(s.now + time.Second)
+			s.lapsed = false
+			s.run(40 * time.Second)
+			s.assertState("a", work.StateCompleted)
+		})
+	}
+}
+
 // TestMaximumIsKept counts what is being stopped against the team's maximum.
 func TestMaximumIsKept(t *testing.T) {
 	s := newSim(t, 1, 4)
@@ -226,6 +258,7 @@
 		s.at(time.Duration(s.rng.Int64N(int64(length))), s.randomFault)
 	}
 	s.run(length)
+	s.lapsed = false
 	s.loseAnswer, s.delayOrder, s.store.lose = 0, 0, 0
 	s.run(length + 45*time.Second)
 	for id := range s.jobs {
@@ -247,10 +280,10 @@
 	switch s.rng.IntN(7) {
 	case 0:
 		s.owner.dead = true
-		s.at(d/4, s.claim)
+		s.at(d/4, s.claimWhenUp)
 	case 1:
 		s.owner.freeze(d)
-		s.at(d/2, s.claim)
+		s.at(d/2, s.claimWhenUp)
 	case 2:
 		w.crash(d)
 	case 3:
@@ -258,12 +291,29 @@
 	case 4:
 		s.note("store down for %s", d)
 		s.store.down = true
-		s.at(d, func() { s.store.down = false })
+		lapse := s.rng.IntN(2) == 0
+		s.at(d, func() {
+			s.store.down = false
+			s.store.lost = s.now
+			if lapse {
+				s.lapsed = true
+				s.at(2*time.Second, func() { s.lapsed = false })
+			}
+		})
 	case 5:
 		w.fails = true
 		s.at(d, func() { w.fails = false })
 	case 6:
 		// A claim while the former owner still works.
-		s.claim()
+		s.claimWhenUp()
+	}
+}
+
+// claimWhenUp claims once the store answers.
+func (s *sim) claimWhenUp() {
+	if s.store.down {
+		s.at(100*time.Millisecond, s.claimWhenUp)
+		return
 	}
+	s.claim()
 }
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -329,6 +329,7 @@
 // Restore takes in what is stored, before anything else is called.
 func (o *Owner) Restore(stored []Stored) {
 	now := o.Now()
+	o.opened = now
 	if o.StoreLost() < troubleMemory {
 		// The former owner may have started work without a record.
 		o.settling = now + o.holdSpan() + settleTime
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -22,6 +22,7 @@
 type node struct {
 	w       work.Worker
 	listed  bool
+	former  bool          // known to the former owner
 	missing time.Duration // since when the list lacks it
 	runs    map[runKey]*run
 	used    resource.Vector
@@ -148,6 +149,36 @@
 	n.probation = false
 }
 
+// RestoreWorkers takes in the workers that the former owner knew: their entries
+// may have lapsed while the store was away, and what they run may have been
+// started without a record.
+func (o *Owner) RestoreWorkers(list []work.Worker) {
+	for i := range list {
+		n := o.node(list[i].ID)
+		n.w = list[i]
+		n.former = true
+		n.nextHold = o.Now()
+	}
+}
+
+// unsettled reports whether a worker may run something that is not known.
+func (o *Owner) unsettled(n *node, now time.Duration) bool {
+	if n.heard {
+		return false
+	}
+	return n.listed || n.former && now-o.opened < o.unlistedWait()
+}
+
+// unlistedWait is how long starts wait for a worker that the former owner knew
+// and that is neither listed nor answers. Without trouble seen at the store its
+// entry is gone for good, or back within the grace.
+func (o *Owner) unlistedWait() time.Duration {
+	if o.TroubleSeen() {
+		return o.settling - o.opened
+	}
+	return o.Bounds.StoreGrace
+}
+
 // SetWorkers takes in the list of workers.
 func (o *Owner) SetWorkers(list []work.Worker) {
 	now := o.Now()
@@ -227,7 +258,7 @@
 func (o *Owner) scanNodes(now time.Duration) {
 	for _, n := range slices.Clone(o.order) {
 		o.scanNode(n, now)
-		if !n.listed && len(n.runs) == 0 && !n.holdBusy && now > n.letGo {
+		if !n.listed && len(n.runs) == 0 && !n.holdBusy && now > n.letGo && now > o.settling {
 			o.removeNode(n)
 		}
 	}
@@ -243,7 +274,7 @@
 			o.sendStop(r)
 		}
 	}
-	if n.w.Address != "" && !n.holdBusy && now >= n.nextHold && (n.listed || len(n.runs) > 0) {
+	if n.w.Address != "" && !n.holdBusy && now >= n.nextHold && (n.listed || len(n.runs) > 0 || o.unsettled(n, now)) {
 		o.hold(n, now)
 	}
 }
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -72,6 +72,9 @@
 	StoreUp func() bool
 	// StoreLost returns how long ago the store last failed to answer.
 	StoreLost func() time.Duration
+	// TroubleSeen reports whether this process itself saw the store fail within
+	// the longest lease, so that its predecessor may have worked without it.
+	TroubleSeen func() bool
 	// Deposed is called once a higher fence or another owner was seen.
 	Deposed func(reason string)
 
@@ -94,6 +97,7 @@
 	order      []*node                    // by id
 	usage      map[string]resource.Vector // by team
 	rates      map[string]*sched.Allowance
+	opened     time.Duration // when the owner began
 	settling   time.Duration // until when starts wait for unreached workers
 	dirty      map[*job]bool
 	saves      int
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -35,7 +35,7 @@
 
 // schedule places what waits, best rank first.
 func (o *Owner) schedule(now time.Duration) {
-	if now < o.settling && !o.allHeard() {
+	if now < o.settling && !o.allSettled(now) {
 		o.changed = true
 		return
 	}
@@ -73,14 +73,9 @@
 // longestRest bounds the pause between two passes.
 const longestRest = 100 * time.Millisecond
 
-// allHeard reports whether every listed worker has answered under this owner's fence.
-func (o *Owner) allHeard() bool {
-	for _, n := range o.order {
-		if n.listed && !n.heard {
-			return false
-		}
-	}
-	return true
+// allSettled reports whether no worker can run something that is not known.
+func (o *Owner) allSettled(now time.Duration) bool {
+	return !slices.ContainsFunc(o.order, func(n *node) bool { return o.unsettled(n, now) })
 }
 
 func (o *Owner) usableNodes(now time.Duration) (pools map[string]*pool) {
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -17,20 +17,22 @@
 
 // sim runs owners, workers and a store in virtual time.
 type sim struct {
-	t       *testing.T
-	rng     *rand.Rand
-	now     time.Duration
-	queue   eventQueue
-	serial  int
-	tables  *work.Tables
-	workers map[string]*simWorker
-	jobs    map[string]*simJob
-	store   simStore
-	owner   *simOwner
-	epoch   int64
-	done    map[string]bool // tasks whose end as done was acknowledged
-	failed  map[string]int  // acknowledged failures by task
-	trace   []string
+	t         *testing.T
+	rng       *rand.Rand
+	now       time.Duration
+	queue     eventQueue
+	serial    int
+	tables    *work.Tables
+	workers   map[string]*simWorker
+	jobs      map[string]*simJob
+	store     simStore
+	owner     *simOwner
+	epoch     int64
+	done      map[string]bool // tasks whose end as done was acknowledged
+	failed    map[string]int  // acknowledged failures by task
+	trace     []string
+	lapsed    bool          // entries of every other worker have lapsed in the store
+	directory []work.Worker // workers as the last owner recorded them
 	// loseAnswer and delayOrder are the chances of these faults for one order.
 	loseAnswer, delayOrder float64
 }
@@ -182,8 +184,8 @@
 
 // list returns the workers as the store lists them.
 func (s *sim) list() (list []work.Worker) {
-	for _, w := range s.workers {
-		if !w.unlisted {
+	for id, w := range s.workers {
+		if !w.unlisted && (!s.lapsed || id[len(id)-1]%2 == 0) {
 			list = append(list, w.w)
 		}
 	}
@@ -212,6 +214,8 @@
 	o.Tables = func() *work.Tables { return s.tables }
 	o.StoreUp = func() bool { return !s.store.down }
 	o.StoreLost = func() time.Duration { return s.now - s.store.lost }
+	o.TroubleSeen = func() bool { return s.now-s.store.lost < troubleMemory }
+	o.Bounds.StoreGrace = 2500 * time.Millisecond
 	o.Advisers = func(time.Duration) int { return 4 }
 	o.Deposed = func(reason string) { s.note("epoch %d deposed: %s", o.Epoch, reason) }
 	o.Start = func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error)) {
@@ -241,6 +245,7 @@
 		stored = append(stored, st)
 	}
 	o.Restore(stored)
+	o.RestoreWorkers(s.directory)
 	o.SetWorkers(s.list())
 	o.tick()
 	o.relist()
@@ -260,6 +265,9 @@
 	}
 	if !o.sim.store.down {
 		o.call(func() { o.SetWorkers(o.sim.list()) })
+		if !o.sim.lapsed {
+			o.sim.directory = o.sim.list()
+		}
 	}
 	o.sim.at(400*time.Millisecond, o.relist)
 }
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -73,12 +73,13 @@
 // takeOver loads the cell and begins to decide about it.
 func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64) (err error) {
 	var jobs, progress []kvstore.Item
-	var workers []work.Worker
+	var workers, former []work.Worker
 	var watchFrom int64
 	err = together(
 		func() (err error) { jobs, watchFrom, err = h.store.List(ctx, jobPrefix); return err },
 		func() (err error) { progress, _, err = h.store.List(ctx, progressPrefix); return err },
 		func() (err error) { workers, err = h.listWorkers(ctx); return err },
+		func() (err error) { former, err = h.formerWorkers(ctx); return err },
 	)
 	if err != nil {
 		return err
@@ -94,6 +95,7 @@
 		h.own = h.newOwner(ownCtx, row, revision)
 		h.ownCancel = cancel
 		h.own.Restore(stored)
+		h.own.RestoreWorkers(former)
 		h.own.SetWorkers(workers)
 		h.own.Tick()
 		h.publish()
@@ -102,7 +104,7 @@
 		cancel()
 		return callErr
 	}
-	h.spawn(func() { h.followWorkers(ownCtx) })
+	h.spawn(func() { h.followWorkers(ownCtx, revision) })
 	h.spawn(func() { h.followJobs(ownCtx, watchFrom) })
 	h.spawn(func() { h.markAlive(ownCtx, revision) })
 	return nil
@@ -176,6 +178,7 @@
 	o.Now, o.Wall = boot, wall
 	o.Tables = h.Tables
 	o.StoreUp, o.StoreLost = h.storeUp, h.storeLost
+	o.TroubleSeen = func() bool { return time.Since(h.store.LastBad()) < troubleMemory }
 	o.Advisers = func(cost time.Duration) int {
 		hosts := make([]string, max(len(h.members), 1))
 		if cost < heavyAdvice {
@@ -218,6 +221,10 @@
 	return o
 }
 
+// troubleMemory is how long a failure of the store makes this host suspect that
+// the owner before it worked without records: the longest lease of a run.
+const troubleMemory = 10 * time.Second
+
 const (
 	// startTimeout bounds an order to a worker: it answers within milliseconds.
 	startTimeout = 600 * time.Millisecond
@@ -307,13 +314,15 @@
 // that drains has to be known as such within two seconds.
 const workersPeriod = 400 * time.Millisecond
 
-func (h *Host) followWorkers(ctx context.Context) {
+func (h *Host) followWorkers(ctx context.Context, ownerRev int64) {
+	var recorded []byte
 	for ctx.Err() == nil {
 		pause(ctx, workersPeriod)
 		workers, err := h.listWorkers(ctx)
 		if err != nil {
 			continue
 		}
+		recorded = h.recordWorkers(ctx, ownerRev, workers, recorded)
 		h.post(func() {
 			if h.own != nil {
 				h.own.SetWorkers(workers)
@@ -322,6 +331,56 @@
 	}
 }
 
+// workerRow is what a successor needs to reach a worker whose entry has lapsed.
+type workerRow struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Address string
+	Pool    string
+}
+
+// recordWorkers stores which workers there are, if that has changed. Entries
+// that have lapsed while the store was away must not be forgotten, so a list
+// read shortly after an outage is not recorded.
+func (h *Host) recordWorkers(ctx context.Context, ownerRev int64, workers []work.Worker, before []byte) (after []byte) {
+	if time.Since(h.store.LastBad()) < h.Bounds.StoreGrace {
+		return before
+	}
+	rows := make([]workerRow, 0, len(workers))
+	for i := range workers {
+		rows = append(rows, workerRow{ID: workers[i].ID, Address: workers[i].Address, Pool: workers[i].Pool})
+	}
+	value, err := cbor.Marshal(rows)
+	if err != nil || bytes.Equal(value, before) {
+		return before
+	}
+	_, _, err = h.store.Write(ctx, kvstore.Txn{
+		Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}},
+		Puts:     []kvstore.Put{{Key: workersKey, Value: value}},
+	})
+	if err != nil {
+		return before
+	}
+	return value
+}
+
+// formerWorkers reads which workers the former owner knew.
+func (h *Host) formerWorkers(ctx context.Context) (workers []work.Worker, err error) {
+	item, err := h.store.Get(ctx, workersKey)
+	if err != nil || item.Revision == 0 {
+		return nil, err
+	}
+	var rows []workerRow
+	if err := cbor.Unmarshal(item.Value, &rows); err != nil {
+		event.EntryMalformed.Log(h.Log).Str("key", workersKey).Err(err).Send()
+		return nil, nil
+	}
+	for _, row := range rows {
+		workers = append(workers, work.Worker{ID: row.ID, Address: row.Address, Pool: row.Pool})
+	}
+	return workers, nil
+}
+
 func (h *Host) listWorkers(ctx context.Context) (workers []work.Worker, err error) {
 	items, _, err := h.store.List(ctx, h.Lists.WorkersPrefix)
 	if err != nil {
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -23,6 +23,7 @@
 	ownerKey       = "cell/owner"
 	beatKey        = "cell/beat"
 	memberPrefix   = "cell/member/"
+	workersKey     = "cell-workers" // outside the prefix that all hosts read
 	jobPrefix      = "job/"
 	cancelSuffix   = ".cancel"
 	progressPrefix = "progress/"
