--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -13,16 +13,21 @@
 )
 
 func newCheckCmd(opts *options) *cobra.Command {
-	var settingsFile, tablesFile, cellFile string
+	var settingsFile, tablesFile, cellFile, hostFile string
 	cmd := &cobra.Command{
-		Use:   "check [--settings FILE] [--tables FILE [--cell FILE]]",
+		Use:   "check [--settings FILE] [--host-settings FILE] [--tables FILE [--cell FILE]]",
 		Short: "Check settings and tables without a cell",
 		Example: `  turmericspread check --settings examples/co-operative/entry.ini
   turmericspread check --tables examples/tawfiq/tables.ini --cell examples/tawfiq/cell.ini`,
 		Args: exactly(0),
 		RunE: func(*cobra.Command, []string) error {
-			if settingsFile == "" && tablesFile == "" {
-				return badInput{errors.New("check: give --settings, --tables or both")}
+			if settingsFile == "" && tablesFile == "" && hostFile == "" {
+				return badInput{errors.New("check: give --settings, --tables or both, or --host-settings")}
+			}
+			if hostFile != "" {
+				if _, err := settings.LoadHost(hostFile); err != nil {
+					return badInput{err}
+				}
 			}
 			if settingsFile != "" {
 				if _, err := settings.Load(settingsFile); err != nil {
@@ -39,6 +44,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&settingsFile, "settings", "", "settings file")
+	cmd.Flags().StringVar(&hostFile, "host-settings", "", "settings file of a host with fenced workers")
 	cmd.Flags().StringVar(&tablesFile, "tables", "", "tables file")
 	cmd.Flags().StringVar(&cellFile, "cell", "", "cell file that tells which services minions serve")
 	return cmd
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -104,12 +104,19 @@
 }
 
 func newExplainCmd(opts *options) *cobra.Command {
-	return &cobra.Command{
-		Use:     "explain JOB",
-		Short:   "Tell why a job waits, where it went and what was weighed",
-		Example: "  turmericspread explain settlement.5f0c",
-		Args:    exactly(1),
+	var logFile string
+	cmd := &cobra.Command{
+		Use:   "explain JOB [--log FILE]",
+		Short: "Tell why a job waits, where it went and what was weighed",
+		Long: `Tell why a job waits, where it went and what was weighed: of a cell that runs,
+or, with --log, from the collected logs of its hosts.`,
+		Example: `  turmericspread explain settlement.5f0c
+  turmericspread explain 5c0e7a21d94b36f8 --log hosts.log`,
+		Args: exactly(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
+			if logFile != "" {
+				return explainLog(opts, logFile, args[0])
+			}
 			job, err := opts.client().Explain(cmd.Context(), args[0])
 			if err != nil {
 				return err
@@ -125,6 +132,8 @@
 			})
 		},
 	}
+	cmd.Flags().StringVar(&logFile, "log", "", "collected logs of the hosts, or - for standard input")
+	return cmd
 }
 
 func newWaitCmd(opts *options) *cobra.Command {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -124,6 +124,12 @@
 	return log.WithLevel(e.Level).Int("event", e.Number).Str("message", e.Message)
 }
 
+// timeFormat shows milliseconds: the story of a job is told from the lines of
+// several hosts, in order.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // NewLogger returns a logger that writes to w in format json or text.
 func NewLogger(w io.Writer, level, format string) zerolog.Logger {
 	parsed, err := zerolog.ParseLevel(level)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -152,12 +152,12 @@
 const (
 	// directTimeout bounds a direct call to the store; slow stores answer
 	// within a quarter of a second.
-	directTimeout = 500 * time.Millisecond
+	directTimeout = 400 * time.Millisecond
 	// storeTimeout bounds a call with its second way.
-	storeTimeout = 1100 * time.Millisecond
+	storeTimeout = 900 * time.Millisecond
 	// storeDownAfter is how long no call may be answered until the store counts
 	// as away.
-	storeDownAfter = 1200 * time.Millisecond
+	storeDownAfter = 800 * time.Millisecond
 	// tickPeriod is the time between two looks for what is due by time.
 	tickPeriod = 10 * time.Millisecond
 )
