--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -107,9 +107,35 @@
 	h.spawn(func() { h.followWorkers(ownCtx, revision) })
 	h.spawn(func() { h.followJobs(ownCtx, watchFrom) })
 	h.spawn(func() { h.markAlive(ownCtx, revision) })
+	h.spawn(func() { h.yieldToStronger(ownCtx) })
 	return nil
 }
 
+const (
+	// yieldPeriod is the time between two looks for a stronger host. The first
+	// comes well before traffic does after a cold start.
+	yieldPeriod = 3 * time.Second
+	// yieldRatio is how much more processor another host must have: a hand-over
+	// stands still for some tenths of a second.
+	yieldRatio = 1.5
+)
+
+// yieldToStronger hands the cell over to a host with clearly more processor:
+// after a cold start any host may have claimed it first.
+func (h *Host) yieldToStronger(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, yieldPeriod)
+		stronger := false
+		err := h.loop.Call(ctx, func() {
+			list := h.successors()
+			stronger = len(list) > 0 && list[0].Power >= yieldRatio*h.Power
+		})
+		if err == nil && stronger {
+			h.handOverOnce(ctx)
+		}
+	}
+}
+
 // together runs functions at the same time and returns their errors: with a
 // slow store each answer takes a quarter of a second.
 func together(fns ...func() error) (err error) {
