--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -366,8 +366,8 @@
 		j.endedAt = o.Wall()
 		o.touch(j)
 	}
+	// Jobs of all ages come at once here: they say nothing of a team's rate.
 	o.addJob(j)
-	o.countRate(j)
 }
 
 func (s *step) restoreCounts() {
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -374,6 +374,9 @@
 	}
 	rows := make([]workerRow, 0, len(workers))
 	for i := range workers {
+		if workers[i].Draining {
+			continue // nothing is started there any more
+		}
 		rows = append(rows, workerRow{ID: workers[i].ID, Address: workers[i].Address, Pool: workers[i].Pool})
 	}
 	value, err := cbor.Marshal(rows)
