--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -34,9 +34,6 @@
 type Bounds struct {
 	MaxHold    time.Duration // longest lease that a worker grants
 	Stop       time.Duration // longest time that a stopped run takes to end
-	Gang       time.Duration // how long a member of a gang waits for the others
-	Notice     time.Duration // least time between two disruptions of a task with an availability budget
-	Harm       time.Duration // how long a serving task may be disturbed
 	Retention  time.Duration // how long an ended job can be asked for
 	FarFactor  float64       // slow-down of a task away from its data
 	StoreGrace time.Duration // how long a worker may be missing from the list after an outage of the store
--- /dev/null
+++ b/internal/host/follow.go
@@ -0,0 +1,182 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/kvstore"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// workersPeriod is the time between two reads of the list of workers. A worker
+// that drains has to be known as such within two seconds.
+const workersPeriod = 400 * time.Millisecond
+
+func (h *Host) followWorkers(ctx context.Context, ownerRev int64) {
+	var recorded []byte
+	for ctx.Err() == nil {
+		pause(ctx, workersPeriod)
+		workers, err := h.listWorkers(ctx)
+		if err != nil {
+			continue
+		}
+		recorded = h.recordWorkers(ctx, ownerRev, workers, recorded)
+		h.post(func() {
+			if h.own != nil {
+				h.own.SetWorkers(workers)
+			}
+		})
+	}
+}
+
+// workerRow is what a successor needs to reach a worker whose entry has lapsed.
+type workerRow struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Address string
+	Pool    string
+}
+
+// recordWorkers stores which workers there are, if that has changed. Entries
+// that have lapsed while the store was away must not be forgotten, so a list
+// read shortly after an outage is not recorded.
+func (h *Host) recordWorkers(ctx context.Context, ownerRev int64, workers []work.Worker, before []byte) (after []byte) {
+	if time.Since(h.store.LastBad()) < h.Bounds.StoreGrace {
+		return before
+	}
+	rows := make([]workerRow, 0, len(workers))
+	for i := range workers {
+		if workers[i].Draining {
+			continue // nothing is started there any more
+		}
+		rows = append(rows, workerRow{ID: workers[i].ID, Address: workers[i].Address, Pool: workers[i].Pool})
+	}
+	value, err := cbor.Marshal(rows)
+	if err != nil || bytes.Equal(value, before) {
+		return before
+	}
+	_, _, err = h.store.Write(ctx, kvstore.Txn{
+		Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}},
+		Puts:     []kvstore.Put{{Key: workersKey, Value: value}},
+	})
+	if err != nil {
+		return before
+	}
+	return value
+}
+
+// formerWorkers reads which workers the former owner knew.
+func (h *Host) formerWorkers(ctx context.Context) (workers []work.Worker, err error) {
+	item, err := h.store.Get(ctx, workersKey)
+	if err != nil || item.Revision == 0 {
+		return nil, err
+	}
+	var rows []workerRow
+	if err := cbor.Unmarshal(item.Value, &rows); err != nil {
+		event.EntryMalformed.Log(h.Log).Str("key", workersKey).Err(err).Send()
+		return nil, nil
+	}
+	for _, row := range rows {
+		workers = append(workers, work.Worker{ID: row.ID, Address: row.Address, Pool: row.Pool})
+	}
+	return workers, nil
+}
+
+func (h *Host) listWorkers(ctx context.Context) (workers []work.Worker, err error) {
+	items, _, err := h.store.List(ctx, h.Lists.WorkersPrefix)
+	if err != nil {
+		return nil, err
+	}
+	for i := range items {
+		w, err := h.Lists.DecodeWorker(items[i].Key, items[i].Value)
+		if err != nil {
+			event.EntryMalformed.Log(h.Log).Str("key", items[i].Key).Err(err).Send()
+			continue
+		}
+		workers = append(workers, w)
+	}
+	return workers, nil
+}
+
+const (
+	// watchWait is how long a watch on jobs may be silent.
+	watchWait = 5 * time.Second
+	// watchPause gathers changes: hosts tell the owner of their jobs at once,
+	// the watch finds those whose host has died.
+	watchPause = 200 * time.Millisecond
+)
+
+// followJobs finds jobs and cancellations that their hosts did not tell of.
+func (h *Host) followJobs(ctx context.Context, after int64) {
+	for ctx.Err() == nil {
+		events, next, err := h.store.Watch(ctx, jobPrefix, after, watchWait)
+		switch {
+		case err == nil:
+			after = next
+			for i := range events {
+				if !events[i].Removed {
+					h.noticeItem(&events[i].Item)
+				}
+			}
+		case ctx.Err() == nil:
+			after = h.relistJobs(ctx, after)
+		}
+		pause(ctx, watchPause)
+	}
+}
+
+// relistJobs reads all jobs anew: a watch that broke may have missed some.
+func (h *Host) relistJobs(ctx context.Context, after int64) (next int64) {
+	items, revision, err := h.store.List(ctx, jobPrefix)
+	if err != nil {
+		return after
+	}
+	for i := range items {
+		h.noticeItem(&items[i])
+	}
+	return revision
+}
+
+func (h *Host) noticeItem(item *kvstore.Item) {
+	id, cancelled := strings.CutSuffix(strings.TrimPrefix(item.Key, jobPrefix), cancelSuffix)
+	if cancelled {
+		h.post(func() {
+			if h.own != nil {
+				h.own.Cancel(id)
+			}
+		})
+		return
+	}
+	job, err := work.DecodeJob(item.Value)
+	if err != nil {
+		event.EntryMalformed.Log(h.Log).Str("key", item.Key).Err(err).Send()
+		return
+	}
+	h.post(func() {
+		if h.own != nil {
+			h.own.Accept(job)
+		}
+	})
+}
+
+// markAlive changes a key of the store now and then, for hosts that cannot
+// reach this one.
+func (h *Host) markAlive(ctx context.Context, ownerRev int64) {
+	for ctx.Err() == nil {
+		_, found, err := h.store.Write(ctx, kvstore.Txn{
+			Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}},
+			Puts:     []kvstore.Put{{Key: beatKey, Value: []byte(h.instance)}},
+		})
+		if errs.Is(err, kvstore.ErrConflict) && len(found) > 0 && found[0].Revision != ownerRev {
+			h.post(func() { h.release("the ownership row has changed") })
+			return
+		}
+		pause(ctx, ownerBeatPeriod)
+	}
+}
--- /dev/null
+++ b/internal/host/owner.go
@@ -0,0 +1,153 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/cell"
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/kvstore"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// newOwner connects an owner to the outside.
+func (h *Host) newOwner(ctx context.Context, row ownerRow, revision int64) *cell.Owner {
+	o := cell.New()
+	o.Epoch, o.Log, o.Bounds = row.Epoch, h.Log, h.Bounds
+	o.Now, o.Wall = boot, wall
+	o.Tables = h.Tables
+	o.StoreUp, o.StoreLost = h.storeUp, h.storeLost
+	o.TroubleSeen = func() bool { return time.Since(h.store.LastBad()) < troubleMemory }
+	o.Advisers = func(cost time.Duration) int {
+		hosts := make([]string, max(len(h.members), 1))
+		if cost < heavyAdvice {
+			return lightPerHost * len(lane(hosts, cost))
+		}
+		return heavyPerHost * len(lane(hosts, cost))
+	}
+	o.Deposed = func(reason string) {
+		if h.own == o {
+			h.release(reason)
+		}
+	}
+	o.Start = func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error)) {
+		callTarget(h, ctx, startTimeout, done, func(ctx context.Context) (work.OrderReport, error) {
+			return h.Targets.Start(ctx, w, order)
+		})
+	}
+	o.Stop = func(w work.Worker, order work.RunOrder, done func(work.OrderReport, error)) {
+		callTarget(h, ctx, startTimeout, done, func(ctx context.Context) (work.OrderReport, error) {
+			return h.Targets.Stop(ctx, w, order)
+		})
+	}
+	o.Hold = func(w work.Worker, order work.HoldOrder, done func(work.HoldReport, error)) {
+		callTarget(h, ctx, order.Wait+holdTimeout, done, func(ctx context.Context) (work.HoldReport, error) {
+			return h.Targets.Hold(ctx, w, order)
+		})
+	}
+	o.Pace = func(w work.Worker, order work.RunOrder, percent int, done func(work.OrderReport, error)) {
+		callTarget(h, ctx, startTimeout, done, func(ctx context.Context) (work.OrderReport, error) {
+			return h.Targets.Pace(ctx, w, order, percent)
+		})
+	}
+	o.Advise = func(order work.AdviceOrder, cost time.Duration, done func(work.AdviceReport, error)) {
+		callTarget(h, ctx, adviceTimeout, done, func(ctx context.Context) (work.AdviceReport, error) {
+			return h.advise(ctx, order, cost)
+		})
+	}
+	o.Save = func(batch []cell.Write, done func([]cell.Saved)) { h.saveProgress(ctx, revision, batch, done) }
+	o.Forget = func(ids []string, done func(bool)) { h.forget(ctx, revision, ids, done) }
+	return o
+}
+
+// troubleMemory is how long a failure of the store makes this host suspect that
+// the owner before it worked without records: the longest lease of a run.
+const troubleMemory = 10 * time.Second
+
+const (
+	// startTimeout bounds an order to a worker: it answers within milliseconds.
+	startTimeout = 600 * time.Millisecond
+	// holdTimeout is added to the time that a worker may wait for an end.
+	holdTimeout = 500 * time.Millisecond
+	// adviceTimeout bounds a question to the adviser, with its waiting in turn.
+	adviceTimeout = 3 * time.Second
+	// lightPerHost and heavyPerHost bound the questions that wait at one host.
+	// What waits here goes by rank, what waits at the adviser by arrival.
+	lightPerHost = 4
+	heavyPerHost = 1
+)
+
+// callTarget makes a call elsewhere and brings its result to the control goroutine.
+func callTarget[T any](h *Host, ctx context.Context, timeout time.Duration, done func(T, error), call func(ctx context.Context) (T, error)) {
+	h.spawn(func() {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		result, err := call(callCtx)
+		cancel()
+		h.post(func() { done(result, err) })
+	})
+}
+
+// saveProgress writes records on the condition that this host owns the cell.
+func (h *Host) saveProgress(ctx context.Context, ownerRev int64, batch []cell.Write, done func([]cell.Saved)) {
+	txn := kvstore.Txn{Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}}}
+	for _, w := range batch {
+		key := progressPrefix + w.Job
+		txn.Expected = append(txn.Expected, kvstore.Condition{Key: key, Revision: w.Revision})
+		txn.Puts = append(txn.Puts, kvstore.Put{Key: key, Value: w.Data})
+	}
+	h.spawn(func() {
+		revision, found, err := h.store.Write(ctx, txn)
+		h.post(func() {
+			results := make([]cell.Saved, len(batch))
+			for i, w := range batch {
+				results[i] = cell.Saved{Revision: w.Revision}
+			}
+			switch {
+			case err == nil:
+				for i := range results {
+					results[i] = cell.Saved{Revision: revision, OK: true}
+				}
+			case errs.Is(err, kvstore.ErrConflict):
+				h.conflict(ownerRev, batch, found, results)
+			default:
+				event.CellRecordRefused.Log(h.Log).Int("jobs", len(batch)).Err(err).Send()
+			}
+			done(results)
+		})
+	})
+}
+
+// conflict tells a lost ownership from records that an earlier write of this
+// owner has changed, whose answer was lost.
+func (h *Host) conflict(ownerRev int64, batch []cell.Write, found []kvstore.Item, results []cell.Saved) {
+	byKey := make(map[string]kvstore.Item, len(found))
+	for _, item := range found {
+		byKey[item.Key] = item
+	}
+	if owner, ok := byKey[ownerKey]; ok && owner.Revision != ownerRev {
+		h.release("the ownership row has changed")
+		return
+	}
+	for i, w := range batch {
+		item, ok := byKey[progressPrefix+w.Job]
+		if !ok {
+			continue
+		}
+		results[i].Revision = item.Revision
+		results[i].OK = item.Revision != w.Revision && bytes.Equal(item.Value, w.Data)
+	}
+}
+
+func (h *Host) forget(ctx context.Context, ownerRev int64, ids []string, done func(bool)) {
+	txn := kvstore.Txn{Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}}}
+	for _, id := range ids {
+		txn.Remove = append(txn.Remove, jobPrefix+id, jobPrefix+id+cancelSuffix, progressPrefix+id)
+	}
+	h.spawn(func() {
+		_, _, err := h.store.Write(ctx, txn)
+		h.post(func() { done(err == nil) })
+	})
+}
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -28,9 +28,6 @@
 	Grace     time.Duration // from a planned stop to the kill
 	MaxHold   time.Duration // longest lease of what runs on a worker
 	Stop      time.Duration // longest time that a stopped run takes
-	Gang      time.Duration // how long a member of a gang waits for the others
-	Notice    time.Duration // least time between two disruptions of a serving task
-	Harm      time.Duration // how long a serving task may be disturbed
 	Retention time.Duration // how long an ended job can be asked for
 	FarFactor float64       // slow-down of work away from its data
 }
@@ -81,9 +78,6 @@
 		Grace:     bounds.Duration("grace", 6*time.Second),
 		MaxHold:   bounds.Duration("max-hold", 6*time.Second),
 		Stop:      bounds.Duration("stop", time.Second),
-		Gang:      bounds.Duration("gang", 3*time.Second),
-		Notice:    bounds.Duration("notice", 5*time.Second),
-		Harm:      bounds.Duration("harm", 4*time.Second),
 		Retention: bounds.Duration("retention", 2*time.Minute),
 		FarFactor: bounds.Float("far-factor", 1, 1, mostFactor),
 	}
--- /dev/null
+++ b/internal/settings/host_test.go
@@ -0,0 +1,46 @@
+package settings
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const hostFile = `[entry]
+name = host-1
+place = boyolali
+power = 0.4
+[listen]
+callers = 10.1.0.17:8183
+readiness = 10.1.0.17:8184
+peers = 10.1.0.17:8180
+metrics = 10.1.0.17:9464
+[peers]
+seeds = 10.1.0.17:8180,10.2.0.15:8180
+[store]
+address = 10.200.1.7:8182
+[bounds]
+max-hold = 6000ms
+far-factor = 1.5
+`
+
+func TestParseHost(t *testing.T) {
+	set, err := ParseHost("host.ini", []byte(hostFile))
+	assert.NilError(t, err)
+	assert.Equal(t, set.Name, "host-1")
+	assert.Equal(t, len(set.Seeds), 2)
+	assert.Equal(t, set.Bounds.MaxHold, 6*time.Second)
+	assert.Equal(t, set.Bounds.Grace, 6*time.Second, "the default")
+	for _, tc := range []struct{ name, extra, names string }{
+		{"an unknown key", "odd = 1\n", "odd"},
+		{"an unknown section", "[odd]\na = 1\n", "odd"},
+		{"a duration without a unit", "stop = 900\n", "stop"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := ParseHost("host.ini", []byte(hostFile+tc.extra))
+			assert.ErrorContains(t, err, "host.ini")
+			assert.ErrorContains(t, err, tc.names)
+		})
+	}
+}
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -21,7 +21,6 @@
 	Capacity  resource.Vector
 	Draining  bool
 	Remaining time.Duration // least time until a draining worker leaves
-	Cold      time.Duration // how long the worker stays slow after its start
 	Born      int64         // start of this life in Unix milliseconds; 0: unknown
 }
 
