fix: check the right before a start where the start is sent

Cause: TestPausedOwner failed once beside load. The invariant right-before-start stood before the guard that drops a start whose right has ended during a pause, so a pause between decision and send counted as broken although nothing was sent. Shown by TestStartAfterPause, which pauses there and failed before (1 broken, 0 starts sent). The check now stands behind the guard, at the send; the test counts what the worker receives, so a missing guard fails it as before. Ruled out: a start on a lapsed right; none was sent in the failing cases.

--- a/internal/rack/start.go
+++ b/internal/rack/start.go
@@ -82,10 +82,11 @@
 	right := r.RightEnd()
 	r.call(func(ctx context.Context) error {
 		sent := r.Now()
-		r.Checks.Check(invariant.RightBeforeStart, sent.Before(right), "task", start.Task)
 		if !sent.Before(right) {
+			// The process was paused since the decision: nothing is sent.
 			return worker.ErrLapsed
 		}
+		r.Checks.Check(invariant.RightBeforeStart, sent.Before(right), "task", start.Task)
 		return client.Start(ctx, start)
 	}, func(now time.Time, err error) { r.startDone(t, now, err) })
 }
