feat: let other hosts call the workers of a large cell; heartbeats and member rows that do not grow with the hosts squared

An owner with more than 500 workers now sends its orders through other hosts, in batches on one stream each; it decides as before, and a carrier that is lost, silent or leaving counts as an order without an answer or not sent. Hosts make themselves known to the owner with their heartbeats, which are spaced so that an owner gets 400 a second at most; rows of hosts are read stale and rarely. Weighed: shards of the cell (a share of workers, jobs and team limits each) keep the owner's figures as well, but split the limits and the view of free room.

--- /dev/null
+++ b/internal/carrier/server.go
@@ -0,0 +1,90 @@
+package carrier
+
+import (
+	"context"
+
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+// Targets are the calls to workers.
+type Targets struct {
+	Start func(ctx context.Context, w work.Worker, order work.StartOrder) (work.OrderReport, error)
+	Stop  func(ctx context.Context, w work.Worker, order work.RunOrder) (work.OrderReport, error)
+	Hold  func(ctx context.Context, w work.Worker, order work.HoldOrder) (work.HoldReport, error)
+	Pace  func(ctx context.Context, w work.Worker, order work.RunOrder, percent int) (work.OrderReport, error)
+}
+
+// Server carries out the orders of an owner. Set the exported fields before use.
+type Server struct {
+	Targets Targets
+	// Spawn runs a function on another goroutine.
+	Spawn func(fn func())
+	// Leaving reports whether this host is about to stop: it takes no more
+	// orders and answers those that it has.
+	Leaving func() bool
+}
+
+// ServerStream is the carrier's end of a connection.
+type ServerStream interface {
+	Send(msg *Answers) error
+	Receive() (msg *Orders, err error)
+}
+
+// Serve carries out the orders of one stream until it ends.
+func (s *Server) Serve(ctx context.Context, stream ServerStream) (err error) {
+	defer Error.WrapP(&err)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := newOutbox[Answer]()
+	s.Spawn(func() {
+		defer cancel()
+		_ = out.drain(ctx, func(list []Answer) error { return stream.Send(&Answers{List: list}) })
+	})
+	for {
+		msg, err := stream.Receive()
+		if err != nil {
+			return err
+		}
+		for i := range msg.List {
+			s.take(ctx, &msg.List[i], out)
+		}
+	}
+}
+
+func (s *Server) take(ctx context.Context, order *Order, out *outbox[Answer]) {
+	if s.Leaving() {
+		answer := Answer{Number: order.Number}
+		answer.setError(work.ErrNotSent)
+		out.put(answer)
+		return
+	}
+	s.Spawn(func() {
+		answer, err := s.CarryOut(ctx, order)
+		answer.setError(err)
+		out.put(answer)
+	})
+}
+
+// CarryOut makes the call to the order's worker.
+func (s *Server) CarryOut(ctx context.Context, order *Order) (answer Answer, err error) {
+	ctx, cancel := context.WithTimeout(ctx, order.Timeout)
+	defer cancel()
+	answer.Number = order.Number
+	w := work.Worker{ID: order.Worker, Address: order.Address}
+	switch {
+	case order.Start != nil:
+		answer.Report, err = s.Targets.Start(ctx, w, *order.Start)
+	case order.Stop != nil:
+		answer.Report, err = s.Targets.Stop(ctx, w, *order.Stop)
+	case order.Pace != nil:
+		answer.Report, err = s.Targets.Pace(ctx, w, *order.Pace, order.Percent)
+	case order.Hold != nil:
+		var report work.HoldReport
+		if report, err = s.Targets.Hold(ctx, w, *order.Hold); err == nil {
+			answer.Hold = &report
+		}
+	default:
+		err = work.ErrMalformed
+	}
+	return answer, err
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -91,6 +91,8 @@
 	CellWorkerReborn  = define(1142, zerolog.WarnLevel, "worker began a new life")
 	CellWorkerSilent  = define(1143, zerolog.WarnLevel, "worker does not answer holds")
 	CellWorkerHeard   = define(1144, zerolog.InfoLevel, "worker answers holds again")
+	CarriersChosen    = define(1145, zerolog.InfoLevel, "hosts that call the workers chosen")
+	CarrierLost       = define(1146, zerolog.WarnLevel, "host that calls workers lost")
 	JobStored         = define(1150, zerolog.InfoLevel, "job stored")
 	JobTurnedAway     = define(1151, zerolog.InfoLevel, "job not accepted")
 	JobUnknown        = define(1152, zerolog.WarnLevel, "acceptance of a job unknown")
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -26,13 +26,10 @@
 	callPending  = "pending"
 	callAdvise   = "advise"
 	callHandOver = "hand-over"
+	callCarry    = "carry"
 )
 
-type beatRequest struct {
-	Name     string
-	Instance string
-	Power    float64
-}
+type beatRequest struct{ Member memberRow }
 
 type beatReply struct {
 	Instance string
@@ -92,6 +89,7 @@
 	peer.Handle(mux, callPending, h.onPending)
 	peer.Handle(mux, callAdvise, h.onAdvise)
 	peer.Handle(mux, callHandOver, h.onHandOver)
+	peer.HandleStream(mux, callCarry, h.carry)
 	return mux
 }
 
@@ -102,9 +100,9 @@
 	}
 	err = h.loop.Call(ctx, func() {
 		out.Owner = h.own != nil
-		h.heard[in.Instance] = time.Now()
-		if h.members[in.Name].Instance != in.Instance {
-			h.lookNow()
+		h.heard[in.Member.Instance] = time.Now()
+		if h.noteMember(in.Member) {
+			h.publish()
 		}
 	})
 	return out, err
@@ -348,14 +346,19 @@
 	return *reply, nil
 }
 
-// aliveFor is how long after a heartbeat a host counts as alive.
-const aliveFor = 1200 * time.Millisecond
+const (
+	// aliveFor is how long at least after a heartbeat a host counts as alive.
+	aliveFor = 1200 * time.Millisecond
+	// aliveBeats is how many heartbeats may be missing meanwhile.
+	aliveBeats = 3
+)
 
 // aliveAddresses returns the addresses of the hosts heard lately.
 func (h *Host) aliveAddresses() map[string]bool {
 	alive := map[string]bool{}
+	limit := max(aliveFor, aliveBeats*h.beatEvery())
 	for _, m := range h.members {
-		if time.Since(h.heard[m.Instance]) < aliveFor {
+		if time.Since(h.heard[m.Instance]) < limit {
 			alive[m.Address] = true
 		}
 	}
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -91,6 +91,8 @@
 	callErr := h.loop.Call(ctx, func() {
 		h.row, h.rowRev, h.rowKnown = row, revision, true
 		h.suspect = suspicion{}
+		h.carriers, h.carrierList = h.newCarriers(), nil
+		h.chooseCarriers(max(len(workers), len(former)))
 		h.own = h.newOwner(ownCtx, row, revision)
 		h.ownCancel = cancel
 		h.own.Restore(stored)
@@ -168,5 +170,6 @@
 	event.CellDeposed.Log(h.Log).Int64("epoch", h.own.Epoch).Str("reason", reason).Send()
 	h.own.Deactivate()
 	h.own = nil
+	h.carriers.Close()
 	h.ownCancel()
 }
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -14,21 +14,31 @@
 	"turmericspread.org/turmericspread/internal/work"
 )
 
-// workersPeriod is the time between two reads of the list of workers. A worker
-// that drains has to be known as such within two seconds.
-const workersPeriod = 400 * time.Millisecond
+const (
+	// workersPeriod is the least time between two reads of the list of workers.
+	workersPeriod = 400 * time.Millisecond
+	// workersPeriodEach is added to it for each worker: long lists take a
+	// processor's time to read.
+	workersPeriodEach = 300 * time.Microsecond
+	// workersPeriodMost bounds it: a worker that drains has to be known as such
+	// within two seconds.
+	workersPeriodMost = 1200 * time.Millisecond
+)
 
 func (h *Host) followWorkers(ctx context.Context, ownerRev int64) {
 	var recorded []byte
+	period := workersPeriod
 	for ctx.Err() == nil {
-		pause(ctx, workersPeriod)
+		pause(ctx, period)
 		workers, err := h.listWorkers(ctx)
 		if err != nil {
 			continue
 		}
+		period = min(workersPeriod+time.Duration(len(workers))*workersPeriodEach, workersPeriodMost)
 		recorded = h.recordWorkers(ctx, ownerRev, workers, recorded)
 		h.post(func() {
 			if h.own != nil {
+				h.chooseCarriers(len(workers))
 				h.own.SetWorkers(workers)
 			}
 		})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/zeebo/errs"
 
 	"turmericspread.org/turmericspread/internal/boottime"
+	"turmericspread.org/turmericspread/internal/carrier"
 	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/control"
 	"turmericspread.org/turmericspread/internal/event"
@@ -38,10 +39,7 @@
 
 // Targets are the ways to workers and to the placement adviser.
 type Targets struct {
-	Start  func(ctx context.Context, w work.Worker, order work.StartOrder) (work.OrderReport, error)
-	Stop   func(ctx context.Context, w work.Worker, order work.RunOrder) (work.OrderReport, error)
-	Hold   func(ctx context.Context, w work.Worker, order work.HoldOrder) (work.HoldReport, error)
-	Pace   func(ctx context.Context, w work.Worker, order work.RunOrder, percent int) (work.OrderReport, error)
+	carrier.Targets
 	Advise func(ctx context.Context, order work.AdviceOrder) (work.AdviceReport, error)
 }
 
@@ -67,6 +65,9 @@
 	Targets     Targets
 	Lists       Lists
 	Listen      func(address string) (net.Listener, error)
+	// DirectWorkers is how many workers an owner calls by itself; with more, it
+	// has other hosts make the calls.
+	DirectWorkers int
 
 	instance string
 	loop     *control.Loop
@@ -84,6 +85,7 @@
 	abort    context.CancelFunc
 	look     chan struct{} // asks for a read of the cell's rows
 	adviser  adviser
+	workers  *carrier.Server
 	stats    *Stats
 
 	seeds atomic.Pointer[[]string]
@@ -99,8 +101,12 @@
 	heard     map[string]time.Time // when another host was heard last, by instance
 	own       *cell.Owner
 	ownCancel context.CancelFunc
-	claiming  bool
-	suspect   suspicion
+	carriers  *carrier.Client // of the ownership
+	// carrierList has the addresses of the hosts that call the workers; empty:
+	// this host does.
+	carrierList []string
+	claiming    bool
+	suspect     suspicion
 }
 
 // view is what other goroutines need to know of the cell.
@@ -119,13 +125,15 @@
 		Log:      zerolog.Nop(),
 		Listen:   func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		instance: hex.EncodeToString(suffix),
-		loop:     control.New(),
-		peers:    peer.NewClient(),
-		members:  map[string]memberRow{},
-		heard:    map[string]time.Time{},
-		started:  time.Now(),
-		look:     make(chan struct{}, 1),
-		stats:    newStats(),
+
+		DirectWorkers: directWorkers,
+		loop:          control.New(),
+		peers:         peer.NewClient(),
+		members:       map[string]memberRow{},
+		heard:         map[string]time.Time{},
+		started:       time.Now(),
+		look:          make(chan struct{}, 1),
+		stats:         newStats(),
 	}
 	h.view.Store(&view{})
 	h.SetSeeds(nil)
@@ -170,6 +178,7 @@
 	}
 	h.store = &kvstore.Client{Do: h.relay.Do, Timeout: storeTimeout}
 	h.adviser.busy, h.adviser.rest = map[string]time.Duration{}, map[string]time.Time{}
+	h.workers = &carrier.Server{Targets: h.Targets.Targets, Spawn: h.spawn, Leaving: h.stopping.Load}
 	listener, err := h.Listen(h.PeerAddress)
 	if err != nil {
 		return err
@@ -239,6 +248,7 @@
 		case <-ticker.C:
 			err := h.loop.Call(ctx, func() {
 				if h.own != nil {
+					h.carriers.Expire()
 					h.own.Tick()
 				}
 			})
@@ -283,8 +293,13 @@
 // While the owner's heartbeats vouch for the version, only the owner reads.
 const tablesPeriod = 300 * time.Millisecond
 
-// vouchedFor is how long a heartbeat's answer vouches for the version in force.
-const vouchedFor = 600 * time.Millisecond
+const (
+	// vouchedAge is the age up to which what the owner has read is vouched for.
+	vouchedAge = 600 * time.Millisecond
+	// vouchedMargin is added to the time between two heartbeats: until then the
+	// answer to one vouches for the version in force.
+	vouchedMargin = 400 * time.Millisecond
+)
 
 // tablesRead returns when this host last read the configuration.
 func (h *Host) tablesRead() time.Time { return time.Unix(0, h.read.Load()) }
@@ -292,10 +307,10 @@
 // vouch takes in the version that the owner has read a moment ago.
 func (h *Host) vouch(reply *beatReply) {
 	tables := h.tables.Load()
-	if tables == nil || reply.Version != tables.Version || reply.ReadAge > vouchedFor.Milliseconds() {
+	if tables == nil || reply.Version != tables.Version || reply.ReadAge > vouchedAge.Milliseconds() {
 		return
 	}
-	h.fresh.Store(time.Now().Add(vouchedFor).UnixNano())
+	h.fresh.Store(time.Now().Add(h.beatEvery() + vouchedMargin).UnixNano())
 }
 
 // tablesOld is the age of the last read from which it is logged as stale.
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -5,7 +5,6 @@
 	"context"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,12 +16,13 @@
 )
 
 // Keys of the store. Jobs and their progress have prefixes of their own, so
-// that a watch on jobs does not see every change of progress.
+// that a watch on jobs does not see every change of progress; so have the rows
+// of the hosts, which are as many as their readers.
 const (
 	cellPrefix     = "cell/"
 	ownerKey       = "cell/owner"
 	beatKey        = "cell/beat"
-	memberPrefix   = "cell/member/"
+	memberPrefix   = "member/"
 	workersKey     = "cell-workers" // outside the prefix that all hosts read
 	jobPrefix      = "job/"
 	cancelSuffix   = ".cancel"
@@ -60,8 +60,17 @@
 	cellPeriod = 1500 * time.Millisecond
 	// suspectPeriod replaces it while the owner is suspected or unknown.
 	suspectPeriod = 150 * time.Millisecond
-	// beatPeriod is the time between two heartbeats to the owner.
+	// membersPeriod is the least time between two reads of the hosts' rows. Who
+	// is not the owner needs some of them only, and possibly old ones.
+	membersPeriod = 3 * time.Second
+	// membersPeriodEach is added to it for each host, so that the rows read by
+	// one host a second do not grow with their number.
+	membersPeriodEach = 40 * time.Millisecond
+	// beatPeriod is the least time between two heartbeats to the owner.
 	beatPeriod = 200 * time.Millisecond
+	// beatsPerSecond bounds the heartbeats that one owner gets: each costs some
+	// 50 microseconds, in all a fiftieth of a processor.
+	beatsPerSecond = 400
 	// beatTimeout bounds one heartbeat.
 	beatTimeout = 350 * time.Millisecond
 	// ownerBeatPeriod is the time between two marks that the owner leaves in
@@ -74,13 +83,22 @@
 	claimStep = 30 * time.Millisecond
 )
 
+// beatEvery returns the time between two heartbeats of one host.
+func (h *Host) beatEvery() time.Duration {
+	return max(beatPeriod, time.Duration(h.Members())*time.Second/beatsPerSecond)
+}
+
 // followCell registers this host and reads the cell's rows.
 func (h *Host) followCell(ctx context.Context) {
 	registered := false
+	var nextMembers time.Time
 	for ctx.Err() == nil {
 		if !registered {
 			registered = h.register(ctx)
 		}
+		if time.Now().After(nextMembers) && h.readMembers(ctx) {
+			nextMembers = time.Now().Add(membersPeriod + time.Duration(h.Members())*membersPeriodEach)
+		}
 		items, _, err := h.store.List(ctx, cellPrefix)
 		period := cellPeriod
 		if err == nil {
@@ -109,10 +127,15 @@
 	}
 }
 
-func (h *Host) register(ctx context.Context) (done bool) {
-	value, err := cbor.Marshal(memberRow{
+// member returns the row of this host.
+func (h *Host) member() memberRow {
+	return memberRow{
 		Name: h.Name, Instance: h.instance, Address: h.PeerAddress, Power: h.Power, Started: h.started.UnixMilli(),
-	})
+	}
+}
+
+func (h *Host) register(ctx context.Context) (done bool) {
+	value, err := cbor.Marshal(h.member())
 	if err != nil {
 		h.Log.Error().Err(err).Msg("member row cannot be encoded")
 		return false
@@ -129,9 +152,43 @@
 	return err == nil
 }
 
+// readMembers reads the hosts' rows. They may be some seconds old: a host that
+// is missing makes itself known to the owner with its heartbeats.
+func (h *Host) readMembers(ctx context.Context) (done bool) {
+	items, _, err := h.store.ListStale(ctx, memberPrefix)
+	if err != nil {
+		return false
+	}
+	members := map[string]memberRow{}
+	for i := range items {
+		var row memberRow
+		if err := cbor.Unmarshal(items[i].Value, &row); err != nil {
+			event.EntryMalformed.Log(h.Log).Str("key", items[i].Key).Err(err).Send()
+			continue
+		}
+		members[row.Name] = row
+	}
+	err = h.loop.Call(ctx, func() {
+		for _, row := range members {
+			h.noteMember(row)
+		}
+		h.publish()
+	})
+	return err == nil && len(members) > 0
+}
+
+// noteMember takes in a host's row; one of an earlier process is ignored.
+func (h *Host) noteMember(row memberRow) (changed bool) {
+	known, ok := h.members[row.Name]
+	if ok && (known.Started > row.Started || known == row) {
+		return false
+	}
+	h.members[row.Name] = row
+	return true
+}
+
 // applyCell takes in the cell's rows.
 func (h *Host) applyCell(items []kvstore.Item) {
-	members := map[string]memberRow{}
 	owned := false
 	for i := range items {
 		item := &items[i]
@@ -148,17 +205,9 @@
 			if item.Revision > h.beatRev {
 				h.beatRev, h.beatSeen = item.Revision, time.Now()
 			}
-		case strings.HasPrefix(item.Key, memberPrefix):
-			var row memberRow
-			if err := cbor.Unmarshal(item.Value, &row); err != nil {
-				event.EntryMalformed.Log(h.Log).Str("key", item.Key).Err(err).Send()
-				continue
-			}
-			members[row.Name] = row
 		}
 	}
 	h.rowKnown = true
-	h.members = members
 	if !owned {
 		h.row, h.rowRev = ownerRow{}, 0
 	}
@@ -195,14 +244,14 @@
 // watchOwner sends heartbeats to the owner and suspects it when it is silent.
 func (h *Host) watchOwner(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, beatPeriod)
+		pause(ctx, h.beatEvery())
 		v := h.view.Load()
 		if !v.known || v.owner.Instance == h.instance {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
 		reply, err := peer.Call[beatRequest, beatReply](callCtx, h.peers, v.owner.Address, callBeat, &beatRequest{
-			Name: h.Name, Instance: h.instance, Power: h.Power,
+			Member: h.member(),
 		})
 		cancel()
 		gone := err != nil && refusedConnection(err) || err == nil && reply.Instance != v.owner.Instance
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -33,26 +33,7 @@
 			h.release(reason)
 		}
 	}
-	o.Start = func(w work.Worker, order work.StartOrder, done func(work.OrderReport, error)) {
-		callTarget(h, ctx, startTimeout, done, func(ctx context.Context) (work.OrderReport, error) {
-			return h.Targets.Start(ctx, w, order)
-		})
-	}
-	o.Stop = func(w work.Worker, order work.RunOrder, done func(work.OrderReport, error)) {
-		callTarget(h, ctx, startTimeout, done, func(ctx context.Context) (work.OrderReport, error) {
-			return h.Targets.Stop(ctx, w, order)
-		})
-	}
-	o.Hold = func(w work.Worker, order work.HoldOrder, done func(work.HoldReport, error)) {
-		callTarget(h, ctx, order.Wait+holdTimeout, done, func(ctx context.Context) (work.HoldReport, error) {
-			return h.Targets.Hold(ctx, w, order)
-		})
-	}
-	o.Pace = func(w work.Worker, order work.RunOrder, percent int, done func(work.OrderReport, error)) {
-		callTarget(h, ctx, startTimeout, done, func(ctx context.Context) (work.OrderReport, error) {
-			return h.Targets.Pace(ctx, w, order, percent)
-		})
-	}
+	h.connectWorkers(ctx, o)
 	o.Advise = func(order work.AdviceOrder, cost time.Duration, done func(work.AdviceReport, error)) {
 		callTarget(h, ctx, adviceTimeout, done, func(ctx context.Context) (work.AdviceReport, error) {
 			return h.advise(ctx, order, cost)
@@ -68,10 +49,6 @@
 const troubleMemory = 10 * time.Second
 
 const (
-	// startTimeout bounds an order to a worker: it answers within milliseconds.
-	startTimeout = 600 * time.Millisecond
-	// holdTimeout is added to the time that a worker may wait for an end.
-	holdTimeout = 500 * time.Millisecond
 	// adviceTimeout bounds a question to the adviser, with its waiting in turn.
 	adviceTimeout = 3 * time.Second
 	// lightPerHost and heavyPerHost bound the questions that wait at one host.
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -110,6 +110,7 @@
 type Range struct {
 	Prefix string
 	After  string
+	Stale  bool // the answer may be seconds old, and costs the store little
 }
 
 // Response is the answer to a Request.
@@ -178,20 +179,31 @@
 // misses nothing. The pages are no snapshot.
 func (c *Client) List(ctx context.Context, prefix string) (items []Item, revision int64, err error) {
 	defer Error.WrapP(&err)
-	after := ""
+	return c.list(ctx, Range{Prefix: prefix})
+}
+
+// ListStale returns all items with a prefix as they were some seconds ago at
+// the earliest.
+func (c *Client) ListStale(ctx context.Context, prefix string) (items []Item, revision int64, err error) {
+	defer Error.WrapP(&err)
+	return c.list(ctx, Range{Prefix: prefix, Stale: true})
+}
+
+func (c *Client) list(ctx context.Context, page Range) (items []Item, revision int64, err error) {
 	for {
-		resp, err := c.call(ctx, Request{Range: &Range{Prefix: prefix, After: after}})
+		request := page
+		resp, err := c.call(ctx, Request{Range: &request})
 		if err != nil {
 			return nil, 0, err
 		}
-		if after == "" {
+		if page.After == "" {
 			revision = resp.Page.Revision
 		}
 		items = append(items, resp.Page.Items...)
 		if !resp.Page.More || len(resp.Page.Items) == 0 {
 			return items, revision, nil
 		}
-		after = resp.Page.Items[len(resp.Page.Items)-1].Key
+		page.After = resp.Page.Items[len(resp.Page.Items)-1].Key
 	}
 }
 
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"context"
+
+	"storj.io/drpc"
+)
+
+// Stream is an open exchange of messages with another process. One goroutine
+// may send while another receives.
+type Stream[Out, In any] struct{ stream drpc.Stream }
+
+// Open begins a stream of the call named rpc. The stream ends with ctx.
+func Open[Out, In any](ctx context.Context, c *Client, address, rpc string) (s *Stream[Out, In], err error) {
+	defer Error.WrapP(&err)
+	c.calls.Add(1)
+	stream, err := c.pool.Get(ctx, address, c.dial).NewStream(ctx, rpc, encoding{})
+	if err != nil {
+		return nil, err
+	}
+	return &Stream[Out, In]{stream}, nil
+}
+
+// HandleStream registers fn for streams of calls named rpc. The stream ends
+// when fn returns.
+func HandleStream[In, Out any](m *Mux, rpc string, fn func(ctx context.Context, s *Stream[Out, In]) error) {
+	m.handlers[rpc] = func(stream drpc.Stream) error {
+		return Error.Wrap(fn(stream.Context(), &Stream[Out, In]{stream}))
+	}
+}
+
+// Send sends one message.
+func (s *Stream[Out, In]) Send(msg *Out) (err error) {
+	defer Error.WrapP(&err)
+	return s.stream.MsgSend(msg, encoding{})
+}
+
+// Receive waits for the next message.
+func (s *Stream[Out, In]) Receive() (msg *In, err error) {
+	defer Error.WrapP(&err)
+	msg = new(In)
+	if err := s.stream.MsgRecv(msg, encoding{}); err != nil {
+		return nil, err
+	}
+	return msg, nil
+}
+
+// Close ends the stream.
+func (s *Stream[Out, In]) Close() (err error) { return Error.Wrap(s.stream.Close()) }
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -36,6 +36,8 @@
 
 // TaskRef names a task within the cell.
 type TaskRef struct {
+	_ struct{} `cbor:",toarray"`
+
 	Job        string
 	Occurrence int
 	Step       int
@@ -84,6 +86,8 @@
 
 // RunReport is a run that a worker lists as running.
 type RunReport struct {
+	_ struct{} `cbor:",toarray"`
+
 	Task       TaskRef
 	Run        int64
 	Checkpoint string
@@ -93,6 +97,8 @@
 
 // EndReport is a run that a worker lists as ended.
 type EndReport struct {
+	_ struct{} `cbor:",toarray"`
+
 	Number     int64 // counts from 1 in each life of the worker
 	Task       TaskRef
 	Run        int64
@@ -102,6 +108,8 @@
 
 // HoldOrder renews everything that runs on a worker and asks what does.
 type HoldOrder struct {
+	_ struct{} `cbor:",toarray"`
+
 	Fence    int64
 	Deadline time.Duration // on the worker's clock; 0: renew nothing
 	SeenUpto int64         // ends up to this number may be forgotten
@@ -110,6 +118,8 @@
 
 // HoldReport is the answer to a HoldOrder.
 type HoldReport struct {
+	_ struct{} `cbor:",toarray"`
+
 	Clock   time.Duration // of the worker
 	Born    int64
 	Running []RunReport
@@ -118,6 +128,8 @@
 
 // StartOrder starts one run of a task.
 type StartOrder struct {
+	_ struct{} `cbor:",toarray"`
+
 	Task       TaskRef
 	Run        int64
 	Payload    string
@@ -129,6 +141,8 @@
 
 // RunOrder addresses one run.
 type RunOrder struct {
+	_ struct{} `cbor:",toarray"`
+
 	Task  TaskRef
 	Run   int64
 	Fence int64
@@ -136,6 +150,8 @@
 
 // OrderReport is the answer to an order that was carried out.
 type OrderReport struct {
+	_ struct{} `cbor:",toarray"`
+
 	Clock time.Duration
 }
 
@@ -149,13 +165,19 @@
 	ErrUnhealthy = errs.New("worker: unhealthy, nothing was done")
 	ErrOtherLife = errs.New("worker: another incarnation answers")
 	ErrMalformed = errs.New("worker: order refused as malformed")
+	ErrNotSent   = errs.New("worker: order not sent")
 )
 
+// Refusals lists the errors after which nothing was done, in a fixed order.
+func Refusals() []error {
+	return []error{
+		ErrFenced, ErrOldRun, ErrLate, ErrNoRoom, ErrTicket, ErrUnhealthy, ErrOtherLife, ErrMalformed, ErrNotSent,
+	}
+}
+
 // Refused reports whether err says that the worker answered and did nothing.
 func Refused(err error) bool {
-	for _, refusal := range []error{
-		ErrFenced, ErrOldRun, ErrLate, ErrNoRoom, ErrTicket, ErrUnhealthy, ErrOtherLife, ErrMalformed,
-	} {
+	for _, refusal := range Refusals() {
 		if errs.Is(err, refusal) {
 			return true
 		}
