feat: move runs that stand still or straggle on slow workers, copies of speculative tasks

Now: like tasks on other workers are the measure, only a slow worker makes a straggler, a task is moved once. Also mended: run times of adopted runs were learnt as if they had just begun.

--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -17,7 +17,8 @@
 		order.Deadline = n.clockAt(now) + o.Bounds.MaxHold
 		n.extend(now, o.Bounds.MaxHold)
 		if len(n.ends) == 0 {
-			order.Wait = holdWait
+			order.Wait = (o.nextMeasure(n, now+holdWait) - now).Truncate(time.Millisecond)
+			order.Wait = max(order.Wait, endPause)
 		}
 	}
 	n.holdBusy = true
@@ -148,6 +149,7 @@
 			o.lost(r, "not found on its worker")
 		}
 	}
+	o.measure(n, received)
 	o.paceNode(n, received)
 }
 
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -40,6 +40,7 @@
 	tasks      []*task
 	done       int
 	running    int     // tasks with a run
+	copies     int     // tasks that want one more run beside theirs
 	failed     []int64 // runs of the whole gang that failed
 	advice     advice
 	startedAt  time.Duration // when the first task was ordered
@@ -55,7 +56,11 @@
 	checkpoint string
 	runs       []*run
 	retryAt    time.Duration
-	avoid      []string // workers on which it failed
+	avoid      []string      // workers on which it failed or was slow
+	took       time.Duration // of the run that is done, if it did the whole work
+	doneOn     string        // worker of that run
+	moved      int           // times that a run was too slow and replaced
+	copyWanted bool          // one more run is wanted beside the present one
 	lastAway   time.Duration
 }
 
@@ -65,7 +70,7 @@
 
 // waiting reports whether the task could be started now.
 func (t *task) waiting(now time.Duration) bool {
-	return !t.done && len(t.runs) == 0 && now >= t.retryAt
+	return !t.done && (len(t.runs) == 0 || t.copyWanted && len(t.runs) == 1) && now >= t.retryAt
 }
 
 func newJob(spec *work.Job) *job {
@@ -207,6 +212,7 @@
 		return
 	}
 	t.done = true
+	t.dropCopy()
 	s := t.step
 	s.done++
 	s.job.left--
@@ -240,11 +246,7 @@
 	if t.step.spec.LongRunning && len(*failed) > failuresKept {
 		*failed = (*failed)[1:]
 	}
-	const avoided = 4
-	t.avoid = append(t.avoid, worker)
-	if len(t.avoid) > avoided {
-		t.avoid = t.avoid[1:]
-	}
+	t.avoidWorker(worker)
 	t.retryAt = o.Now() + retryDelay(len(*failed))
 	if t.step.spec.LongRunning || j.over() || len(*failed) < max(j.queue.Attempts, 1) {
 		return
--- a/internal/cell/learn.go
+++ b/internal/cell/learn.go
@@ -17,6 +17,9 @@
 	ratioSamples = 4
 	// ratioWarm is the number of samples that are averaged evenly before weights apply.
 	ratioWarm = 7
+	// paceMemory is how long the pace of a worker holds that gets no work:
+	// workers turn slow for some seconds.
+	paceMemory = 8 * time.Second
 	// slowRatio is from where a worker counts as slow.
 	slowRatio = 1.5
 )
@@ -33,15 +36,31 @@
 
 // learn takes in the run time of a task that is done. Estimates of a queue may
 // all be off, so a worker is judged against its queue's mean.
-func (o *Owner) learn(n *node, t *task, took time.Duration) {
+func (o *Owner) learn(r *run, took time.Duration) {
+	n, t := r.node, r.task
 	spec := t.step.spec
-	if spec.Estimate <= 0 || spec.Gang || len(t.failed) > 0 || t.checkpoint != "" {
+	if spec.Gang || len(t.failed) > 0 {
+		return
+	}
+	like := o.like(r)
+	switch {
+	case like > 0 && took < time.Duration(slowRatio*float64(like)):
+		n.soundAt, n.slowUntil = o.Now(), 0
+	case like == 0 && o.Now() >= n.slowUntil:
+		n.soundAt = o.Now()
+	}
+	t.took, t.doneOn = took, n.w.ID
+	if spec.Estimate <= 0 {
 		return
 	}
 	x := float64(took) / float64(spec.Estimate)
 	queue := o.ratio(t.step.job.spec.Queue)
 	queue.add(x)
 	if queue.count > ratioSamples {
+		if o.Now()-n.pacedAt > paceMemory {
+			n.pace = ratio{}
+		}
+		n.pacedAt = o.Now()
 		n.pace.add(x / max(queue.mean, 0.05))
 	}
 }
@@ -56,9 +75,12 @@
 }
 
 // slowness returns by how much a worker is slower than others, 0 unless clearly so.
-func (o *Owner) slowness(n *node) float64 {
-	if n.pace.count < ratioSamples || n.pace.mean < slowRatio {
-		return 0
+func (o *Owner) slowness(n *node, now time.Duration) (slower float64) {
+	if now < n.slowUntil {
+		slower = n.slowBy
+	}
+	if n.pace.count >= ratioSamples && now-n.pacedAt <= paceMemory && n.pace.mean >= slowRatio {
+		slower = max(slower, n.pace.mean-1)
 	}
-	return n.pace.mean - 1
+	return slower
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -41,8 +41,12 @@
 	processed int64 // number of the last end taken in
 	ends      []pendingEnd
 
-	pace      ratio // of its run times to those of other workers
-	failures  int   // failed runs in a row
+	pace      ratio         // of its run times to those of other workers
+	pacedAt   time.Duration // when pace was learned last
+	slowBy    float64       // slow-down that a straggler told of, beyond 1
+	slowUntil time.Duration // until when slowBy holds
+	soundAt   time.Duration // when a run last ended in time
+	failures  int           // failed runs in a row
 	restUntil time.Duration
 	probation bool // the next run decides whether it is trusted again
 }
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -37,6 +37,13 @@
 	since    time.Duration   // when it was first seen live
 	atWork   bool            // a long-running task that reports full work
 	percent  int
+	whole    bool          // this owner has started it, from the beginning
+	first    int           // percent when it was first looked at
+	firstAt  time.Duration // when that was
+	mark     int           // percent at markAt
+	markAt   time.Duration // when percent was mark
+	looked   time.Duration // when the speed was measured last
+	slowness float64       // then, against like tasks elsewhere; 0: not known
 	figure   int
 	pace     int // percent that the worker was told; 100 at the start
 	paceBusy bool
@@ -62,6 +69,7 @@
 // attach makes r occupy its worker and counts it for its team.
 func (o *Owner) attach(r *run) {
 	spec := r.task.step.spec
+	r.task.dropCopy()
 	r.want = spec.Want
 	if spec.Fills {
 		r.want.MilliCores = 0
@@ -197,6 +205,7 @@
 	n := r.node
 	r.state = runOrdered
 	r.ordered = now
+	r.whole = r.task.startCheckpoint() == ""
 	if r.task.step.startedAt == 0 {
 		r.task.step.startedAt = now
 	}
@@ -355,8 +364,8 @@
 // for all of them.
 func (o *Owner) doneEnd(n *node, t *task, r *run) {
 	n.succeeded()
-	if r != nil && r.since > 0 {
-		o.learn(n, t, o.Now()-r.since)
+	if r != nil && r.whole && r.since > 0 {
+		o.learn(r, o.Now()-r.since)
 	}
 	if t.step.spec.LongRunning {
 		return // to be started again, however it ended
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		for _, s := range j.steps {
-			if s.done+s.running >= len(s.tasks) || !s.open(wall) {
+			if s.done+s.running-s.copies >= len(s.tasks) || !s.open(wall) {
 				continue
 			}
 			g := group{step: s, rank: o.rank(s)}
@@ -194,7 +194,7 @@
 		if !o.mayRun(s, n) {
 			continue
 		}
-		room := sched.Room{Free: n.free(), Rack: n.w.Rack, Most: n.most(s), Penalty: o.penalty(s, n)}
+		room := sched.Room{Free: n.free(), Rack: n.w.Rack, Most: n.most(s), Penalty: o.penalty(s, n, now)}
 		rooms = append(rooms, room)
 		usable = append(usable, n)
 	}
@@ -218,11 +218,11 @@
 }
 
 // penalty estimates the slow-down of the step's tasks on a worker.
-func (o *Owner) penalty(s *step, n *node) (p float64) {
+func (o *Owner) penalty(s *step, n *node, now time.Duration) (p float64) {
 	if s.spec.Rack != "" && s.spec.Rack != n.w.Rack {
 		p += max(o.Bounds.FarFactor-1, 0)
 	}
-	return p + o.slowness(n)
+	return p + o.slowness(n, now)
 }
 
 func (n *node) free() resource.Vector { return n.w.Capacity.Sub(n.used) }
