--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -57,16 +57,15 @@
 	Hold    *work.HoldReport `cbor:"5,keyasint,omitempty"`
 }
 
-// Orders and Answers are the messages of a stream: what has gathered since the
-// one before.
-type (
-	Orders struct {
-		List []Order `cbor:"1,keyasint"`
-	}
-	Answers struct {
-		List []Answer `cbor:"1,keyasint"`
-	}
-)
+// Orders is a message to a carrier: what has gathered since the one before.
+type Orders struct {
+	List []Order `cbor:"1,keyasint"`
+}
+
+// Answers is a message of a carrier: what has gathered since the one before.
+type Answers struct {
+	List []Answer `cbor:"1,keyasint"`
+}
 
 // setError notes why an order was not carried out, or not answered.
 func (a *Answer) setError(err error) {
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -275,6 +275,21 @@
 	}
 }
 
+// TestSeedsThatFailed repeats random runs that once found a fault. The runs
+// change with the draws of randomRun; each cause has a test of its own as well.
+func TestSeedsThatFailed(t *testing.T) {
+	tests := []struct {
+		seed  uint64
+		cause string
+	}{
+		{1361, "a task and its copy both stood still, and neither was replaced"},
+		{1536, "two tasks and their copies stood still after a takeover"},
+	}
+	for _, test := range tests {
+		t.Run(test.cause, func(t *testing.T) { randomRun(t, test.seed) })
+	}
+}
+
 func (s *sim) randomFault() {
 	w := s.workers[fmt.Sprintf("w%02d", s.rng.IntN(len(s.workers)))]
 	d := time.Duration(s.rng.Int64N(int64(8 * time.Second)))
@@ -341,6 +356,16 @@
 		{"standing still", func(w *simWorker) { w.hangs = true }, step, 4 * time.Second},
 		{"copies of slow tasks", func(w *simWorker) { w.slow = 8 }, copies, 3500 * time.Millisecond},
 		{"copies of tasks that stand still", func(w *simWorker) { w.hangs = true }, copies, 3500 * time.Millisecond},
+		{"again and again", func(w *simWorker) {
+			for _, other := range w.sim.workers {
+				other.hangs = other.w.ID < "w05"
+			}
+		}, step, 20 * time.Second},
+		{"copies as well", func(w *simWorker) {
+			for _, other := range w.sim.workers {
+				other.hangs = other.w.ID < "w05"
+			}
+		}, copies, 20 * time.Second},
 		{"as slow as twice", func(w *simWorker) { w.slow = 2 }, step, 4 * time.Second},
 	}
 	for _, test := range tests {
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -15,8 +15,8 @@
 	// restartDelay is the usual time from the stop of a run to its next start:
 	// the end is listed, recorded and a worker chosen.
 	restartDelay = 150 * time.Millisecond
-	// movedMost is how often a task is moved for its slowness: after that the
-	// task itself is taken to be large.
+	// movedMost is how often a task that does not stand still is moved: after
+	// that the task itself is taken to be large.
 	movedMost = 1
 	// slowRest is how long a worker with a straggler is taken as slow if no run
 	// there ends in time. Workers turn slow for some seconds.
@@ -152,19 +152,20 @@
 	case spec.Checkpointing:
 		part = speed.Left
 	}
+	copied := len(r.task.runs) > 1
 	switch {
-	case !speed.Straggles(before, part) || len(r.task.runs) > 1 || r.task.step.job.over():
+	case !speed.Straggles(before, part) || r.task.step.job.over() || copied && !speed.Still():
 		return
-	case r.task.moved >= movedMost || !o.roomElsewhere(r, now):
+	case r.task.moved >= movedMost && !speed.Still() || !o.roomElsewhere(r, now):
 		return
 	}
 	r.task.moved++
 	event.CellStraggler.Log(o.Log).Str("task", r.task.ref().String()).Int64("run", r.number).Str("worker", r.node.w.ID).
 		Int("percent", r.percent).Dur("window", speed.Window).Float64("slowness", speed.Slowness()).
-		Dur("like-tasks", speed.Expected).Float64("worker", speed.Worker).Bool("copy", spec.Speculative).Send()
+		Dur("like-tasks", speed.Expected).Float64("worker", speed.Worker).Bool("copy", spec.Speculative && !copied).Send()
 	o.Counters.Copies++
 	r.task.avoidWorker(r.node.w.ID)
-	if spec.Speculative {
+	if spec.Speculative && !copied {
 		r.task.wantCopy()
 		o.changed = true
 		return
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -192,8 +192,8 @@
 	owned := false
 	for i := range items {
 		item := &items[i]
-		switch {
-		case item.Key == ownerKey:
+		switch item.Key {
+		case ownerKey:
 			var row ownerRow
 			if err := cbor.Unmarshal(item.Value, &row); err != nil {
 				event.EntryMalformed.Log(h.Log).Str("key", item.Key).Err(err).Send()
@@ -201,7 +201,7 @@
 			}
 			owned = true
 			h.applyOwner(row, item.Revision)
-		case item.Key == beatKey:
+		case beatKey:
 			if item.Revision > h.beatRev {
 				h.beatRev, h.beatSeen = item.Revision, time.Now()
 			}
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -39,20 +39,21 @@
 		return 1
 	case s.Expected > 0:
 		return float64(s.Window) / float64(s.Expected) / max(s.Gained, gainedLeast)
-	case s.still():
+	case s.Still():
 		return float64(s.Window) / float64(stillWindow) / gainedLeast
 	}
 	return max(s.Worker, 1)
 }
 
-func (s Speed) still() bool { return s.Gained < gainedLeast && s.Window >= stillWindow }
+// Still reports whether the run stands still.
+func (s Speed) Still() bool { return s.Gained < gainedLeast && s.Window >= stillWindow }
 
 // Straggles reports whether a new run elsewhere would end clearly sooner: it
 // needs the time before it can begin and does the part of the work given. Only
 // a slow worker makes a straggler: on a sound one the task is just larger.
 func (s Speed) Straggles(before time.Duration, part float64) bool {
 	slowness := s.Slowness()
-	if !s.still() {
+	if !s.Still() {
 		slowness = min(slowness, s.Worker)
 	}
 	if slowness < slowLeast {
