--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -160,6 +160,10 @@
 		return
 	}
 	r.task.moved++
+	if speed.Still() {
+		// As good as a failure, and no run will end there to tell of it.
+		r.node.failed(now)
+	}
 	event.CellStraggler.Log(o.Log).Str("task", r.task.ref().String()).Int64("run", r.number).Str("worker", r.node.w.ID).
 		Int("percent", r.percent).Dur("window", speed.Window).Float64("slowness", speed.Slowness()).
 		Dur("like-tasks", speed.Expected).Float64("worker", speed.Worker).Bool("copy", spec.Speculative && !copied).Send()
