perf: a successor waits only for workers that may run what it does not know

Now the stored directory holds only workers that a successor has to ask (it lacks those that were silent), an owner starts nothing without a record outside of it, jobs accepted after a takeover do not wait, and trouble is judged when an owner begins. Directory writes are conditional on the one before, so a late one undoes nothing. Limits count the capacity of workers that are not settled. Tests fail with each part taken back: TestDarkWorkerDoesNotDelayASuccessor, TestNewJobsNeedNotWait.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -170,6 +170,85 @@
 	}
 }
 
+// startsWithin runs until a task of the job has started, at most for d.
+func (s *sim) startsWithin(job string, d time.Duration) bool {
+	for end := s.now + d; s.now < end; s.run(s.now + 10*time.Millisecond) {
+		for _, w := range s.workers {
+			for _, r := range w.runs {
+				if r.ref.Job == job {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// TestDarkWorkerDoesNotDelayASuccessor loses a worker well before the owner's
+// process: nothing can have been started there since, so its successor, a
+// process that cannot know of the store's past, waits for nothing.
+func TestDarkWorkerDoesNotDelayASuccessor(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.fresh = true
+	s.claim()
+	s.run(time.Second)
+	s.workers["w02"].cutFor(time.Minute)
+	s.run(s.now + 4*time.Second)
+	s.submit("a", tasksOf(2, time.Second))
+	s.owner.dead = true
+	s.run(s.now + 500*time.Millisecond)
+	s.claim()
+	assert.Assert(t, s.startsWithin("a", 300*time.Millisecond))
+}
+
+// TestNewJobsNeedNotWait loses a worker together with the owner: work of before
+// waits for it, jobs that are new cannot be running there.
+func TestNewJobsNeedNotWait(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.claim()
+	s.run(time.Second)
+	s.submit("a", tasksOf(2, time.Second))
+	s.fresh = true
+	s.owner.dead = true
+	s.workers["w02"].cutFor(time.Minute)
+	s.run(s.now + 500*time.Millisecond)
+	s.claim()
+	s.submit("b", tasksOf(2, time.Second))
+	assert.Assert(t, s.startsWithin("b", 300*time.Millisecond))
+	assert.Assert(t, !s.startsWithin("a", time.Second), "w02 may run it")
+	s.run(s.now + 15*time.Second)
+	s.assertState("a", work.StateCompleted)
+}
+
+// TestLaterTroubleIsTheOwnersOwn loses a worker before a takeover and the store
+// long after it: the owner knows what itself has started since.
+func TestLaterTroubleIsTheOwnersOwn(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.claim()
+	s.run(time.Second)
+	next := tasksOf(2, time.Second)
+	next.After = []int{0}
+	s.submit("a", tasksOf(1, 6*time.Second), next)
+	assert.Assert(t, s.startsWithin("a", 300*time.Millisecond))
+	for _, w := range s.workers {
+		if len(w.runs) == 0 {
+			w.cutFor(time.Minute)
+			w.unlisted = true
+			break
+		}
+	}
+	s.owner.dead = true
+	s.fresh = true
+	s.claim()
+	s.run(s.now + 1500*time.Millisecond)
+	s.store.down = true
+	s.submit("b", tasksOf(1, time.Second)) // has a record written, which fails
+	s.run(s.now + 9500*time.Millisecond)
+	s.store.down = false
+	s.run(s.now + time.Second)
+	s.assertState("a", work.StateCompleted)
+}
+
 // TestMaximumIsKept counts what is being stopped against the team's maximum.
 func TestMaximumIsKept(t *testing.T) {
 	s := newSim(t, 1, 4)
@@ -337,6 +416,7 @@
 		s.at(100*time.Millisecond, s.claimWhenUp)
 		return
 	}
+	s.fresh = s.rng.IntN(2) == 0
 	s.claim()
 }
 
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -18,6 +18,7 @@
 	left      int        // tasks not done
 	begun     bool
 	cancelled bool
+	restored  bool // a former owner may have started its tasks
 	state     work.State
 	endedAt   time.Duration // time of day
 	excess    bool          // beyond the team's rate
@@ -332,6 +333,7 @@
 func (o *Owner) Restore(stored []Stored) {
 	now := o.Now()
 	o.opened = now
+	o.troubled = o.TroubleSeen()
 	if o.StoreLost() < troubleMemory {
 		// The former owner may have started work without a record.
 		o.settling = now + o.holdSpan() + settleTime
@@ -351,7 +353,7 @@
 	}
 	j := newJob(st.Job)
 	j.revision = st.Revision
-	j.cancelled = st.Cancelled
+	j.cancelled, j.restored = st.Cancelled, true
 	if p := st.Progress; p != nil {
 		j.begun = p.Begun
 		j.state = p.State
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -7,32 +7,66 @@
 	"turmericspread.org/turmericspread/internal/work"
 )
 
-// RestoreWorkers takes in the workers that the former owner knew: their entries
-// may have lapsed while the store was away, and what they run may have been
-// started without a record.
+// RestoreWorkers takes in the stored directory of workers: their entries may
+// have lapsed while the store was away, and what they run may have been started
+// without a record.
 func (o *Owner) RestoreWorkers(list []work.Worker) {
 	for i := range list {
 		n := o.node(list[i].ID)
 		n.w = list[i]
-		n.former = true
+		n.former, n.inDirectory = true, true
 		n.nextHold = o.Now()
 	}
 }
 
+// Directory returns the workers that a successor has to ask before it starts
+// what this owner may have started without a record: those that work may be
+// given to, those that run something not recorded yet, and those of earlier
+// owners that are not settled. A worker that it lacks is given no work without
+// a record from now on.
+func (o *Owner) Directory() (list []work.Worker) {
+	now := o.Now()
+	for _, n := range o.order {
+		answers := n.listed && n.heard && n.misses < silentMisses && !n.w.Draining
+		if answers || n.unrecorded() || o.unsettled(n, now) {
+			list = append(list, n.w)
+			continue
+		}
+		n.inDirectory = false
+	}
+	return list
+}
+
+// DirectoryStored notes that a directory is in the store.
+func (o *Owner) DirectoryStored(list []work.Worker) {
+	for i := range list {
+		if n := o.nodes[list[i].ID]; n != nil {
+			n.inDirectory = true
+		}
+	}
+}
+
+// unrecorded reports whether the worker may run something that is not recorded.
+func (n *node) unrecorded() bool {
+	for _, r := range n.runs {
+		if r.version > r.task.step.job.saved {
+			return true
+		}
+	}
+	return false
+}
+
 // unsettled reports whether a worker may run something that is not known.
 func (o *Owner) unsettled(n *node, now time.Duration) bool {
-	if n.heard {
-		return false
-	}
-	return n.listed || n.former && now-o.opened < o.unlistedWait()
+	return n.former && !n.heard && now-o.opened < o.settlingFor(n)
 }
 
-// unlistedWait is how long starts wait for a worker that the former owner knew
-// and that is neither listed nor answers. Without trouble seen at the store its
-// entry is gone for good, or back within the grace.
-func (o *Owner) unlistedWait() time.Duration {
-	if o.TroubleSeen() {
-		return o.settling - o.opened
+// settlingFor is how long starts wait for a worker of the former owner that
+// does not answer. Without trouble seen at the store an entry that has lapsed
+// is gone for good, or back within the grace. Later trouble is this owner's own.
+func (o *Owner) settlingFor(n *node) time.Duration {
+	if o.troubled || n.listed {
+		return max(o.settling-o.opened, o.Bounds.StoreGrace)
 	}
 	return o.Bounds.StoreGrace
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -17,12 +17,13 @@
 
 // node is a worker as its owner sees it.
 type node struct {
-	w       work.Worker
-	listed  bool
-	former  bool          // known to the former owner
-	missing time.Duration // since when the list lacks it
-	runs    map[runKey]*run
-	used    resource.Vector
+	w           work.Worker
+	listed      bool
+	former      bool          // in the directory of the former owner
+	inDirectory bool          // in the stored directory: work may start there without a record
+	missing     time.Duration // since when the list lacks it
+	runs        map[runKey]*run
+	used        resource.Vector
 
 	// What is known of the present life of the worker.
 	born      int64
@@ -73,6 +74,9 @@
 	clockDrift = 1.03
 	// leaseMargin covers what is sent before and arrives after a lease is read.
 	leaseMargin = 300 * time.Millisecond
+	// silentMisses is the number of holds in a row without an answer from which
+	// a worker counts as silent.
+	silentMisses = 2
 	// quarantineFailures in a row, of any tasks, make a worker suspect.
 	quarantineFailures = 3
 	// quarantineRest is how long a suspect worker gets no work.
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -93,9 +93,11 @@
 	nodes      map[string]*node
 	order      []*node                    // by id
 	usage      map[string]resource.Vector // by team
+	unknown    resource.Vector            // what runs that are not known may use
 	rates      map[string]*sched.Allowance
 	opened     time.Duration // when the owner began
 	settling   time.Duration // until when starts wait for unreached workers
+	troubled   bool          // the store had failed shortly before the owner began
 	dirty      map[*job]bool
 	saves      int
 	changed    bool // a scheduling pass is due
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -119,7 +119,7 @@
 	j.begun = true
 	o.record(j, recordSoon)
 	r.version = j.version
-	if !o.StoreUp() && o.confirmed(o.Now()) {
+	if !o.StoreUp() && n.inDirectory && o.confirmed(o.Now()) {
 		// The store is away: nobody can have taken over, and work goes on.
 		o.send(r)
 	}
@@ -151,7 +151,10 @@
 // taken back, and with them all others of a gang: nothing of it was sent yet.
 func (o *Owner) sendAll(s *step, due []*run) {
 	now := o.Now()
-	sound := func(r *run) bool { return !r.stopping && r.node.usable(now) && r.born == r.node.born }
+	sound := func(r *run) bool {
+		known := r.node.inDirectory || r.version <= r.task.step.job.saved
+		return known && !r.stopping && r.node.usable(now) && r.born == r.node.born
+	}
 	whole := !s.spec.Gang || !slices.ContainsFunc(due, func(r *run) bool { return !sound(r) })
 	for _, r := range due {
 		if whole && sound(r) {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -35,11 +35,11 @@
 
 // schedule places what waits, best rank first.
 func (o *Owner) schedule(now time.Duration) {
-	if now < o.settling && !o.allSettled(now) {
-		o.changed = true
-		return
-	}
 	defer o.restAfterPass(now)
+	o.unknown = resource.Vector{}
+	if now < o.settling {
+		o.unknown = o.unsettledCapacity(now)
+	}
 	groups := o.waiting(now)
 	if len(groups) == 0 {
 		return
@@ -73,15 +73,21 @@
 // longestRest bounds the pause between two passes.
 const longestRest = 100 * time.Millisecond
 
-// allSettled reports whether no worker can run something that is not known.
-func (o *Owner) allSettled(now time.Duration) bool {
-	return !slices.ContainsFunc(o.order, func(n *node) bool { return o.unsettled(n, now) })
+// unsettledCapacity is what may be in use by runs that are not known: starts of
+// the former owner without a record, on workers that have not answered yet.
+func (o *Owner) unsettledCapacity(now time.Duration) (sum resource.Vector) {
+	for _, n := range o.order {
+		if o.unsettled(n, now) {
+			sum = sum.Add(n.w.Capacity).Add(resource.Vector{MemoryMB: 1}) // never zero
+		}
+	}
+	return sum
 }
 
 func (o *Owner) usableNodes(now time.Duration) (pools map[string]*pool) {
 	pools = map[string]*pool{}
 	for _, n := range o.order {
-		if !n.usable(now) {
+		if !n.usable(now) || !n.inDirectory && !o.StoreUp() {
 			continue
 		}
 		p := pools[n.w.Pool]
@@ -112,7 +118,8 @@
 func (o *Owner) waiting(now time.Duration) (groups []group) {
 	wall := o.Wall()
 	for _, j := range o.active {
-		if j.over() {
+		if j.over() || j.restored && o.unknown != (resource.Vector{}) {
+			o.changed = true
 			continue
 		}
 		for _, s := range j.steps {
@@ -303,7 +310,7 @@
 	if !ok {
 		return true
 	}
-	used := o.usage[team.Name].Add(s.spec.Want.Scale(int64(count)))
+	used := o.usage[team.Name].Add(o.unknown).Add(s.spec.Want.Scale(int64(count)))
 	over := func(used, most int64) bool { return most > 0 && used > most }
 	return !over(used.MilliCores, team.Maximum.MilliCores) && !over(used.MemoryMB, team.Maximum.MemoryMB) &&
 		!over(used.Accelerators, team.Maximum.Accelerators)
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -33,6 +33,7 @@
 	trace     []string
 	lapsed    bool          // entries of every other worker have lapsed in the store
 	directory []work.Worker // workers as the last owner recorded them
+	fresh     bool          // owners are processes that have just started
 	// loseAnswer and delayOrder are the chances of these faults for one order.
 	loseAnswer, delayOrder float64
 }
@@ -86,6 +87,7 @@
 type simOwner struct {
 	*Owner
 	sim    *sim
+	rev    int64 // of the ownership row
 	frozen bool
 	dead   bool
 	held   []func() // callbacks that arrived while it was frozen
@@ -181,7 +183,7 @@
 	s.store.revision++
 	s.store.ownerRev = s.store.revision
 	rev := s.store.ownerRev
-	o := &simOwner{Owner: New(), sim: s}
+	o := &simOwner{Owner: New(), sim: s, rev: rev}
 	s.owner = o
 	s.note("owner of epoch %d begins", s.epoch)
 	o.Epoch = s.epoch
@@ -190,7 +192,11 @@
 	o.Wall = func() time.Duration { return s.now }
 	o.Tables = func() *work.Tables { return s.tables }
 	o.StoreUp = func() bool { return !s.store.down }
-	o.StoreLost = func() time.Duration { return s.now - s.store.lost }
+	began := -time.Hour
+	if s.fresh && s.now-s.store.lost >= troubleMemory {
+		began = s.now
+	}
+	o.StoreLost = func() time.Duration { return s.now - max(s.store.lost, began) }
 	o.TroubleSeen = func() bool { return s.now-s.store.lost < troubleMemory }
 	o.Bounds.StoreGrace = 2500 * time.Millisecond
 	o.Advisers = func(time.Duration) int { return 4 }
@@ -241,10 +247,16 @@
 		return
 	}
 	if !o.sim.store.down {
-		o.call(func() { o.SetWorkers(o.sim.list()) })
-		if !o.sim.lapsed {
-			o.sim.directory = o.sim.list()
-		}
+		o.call(func() {
+			o.SetWorkers(o.sim.list())
+			if o.sim.store.ownerRev != o.rev || o.StoreLost() < o.Bounds.StoreGrace {
+				return
+			}
+			o.sim.directory = o.Directory()
+			if o.sim.rng.Float64() >= o.sim.store.lose {
+				o.DirectoryStored(o.sim.directory)
+			}
+		})
 	}
 	o.sim.at(400*time.Millisecond, o.relist)
 }
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -11,6 +11,7 @@
 
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
+	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -25,8 +26,15 @@
 	workersPeriodMost = 1200 * time.Millisecond
 )
 
+// directory is the stored list of the workers that a successor has to ask.
+type directory struct {
+	value    []byte
+	revision int64
+	known    bool // value and revision are those in the store
+}
+
 func (h *Host) followWorkers(ctx context.Context, ownerRev int64) {
-	var recorded []byte
+	var stored directory
 	period := workersPeriod
 	for ctx.Err() == nil {
 		pause(ctx, period)
@@ -35,53 +43,74 @@
 			continue
 		}
 		period = min(workersPeriod+time.Duration(len(workers))*workersPeriodEach, workersPeriodMost)
-		recorded = h.recordWorkers(ctx, ownerRev, workers, recorded)
-		h.post(func() {
+		var list []work.Worker
+		err = h.loop.Call(ctx, func() {
 			if h.own != nil {
 				h.chooseCarriers(len(workers))
 				h.own.SetWorkers(workers)
+				list = h.own.Directory()
+				h.own.Tick()
 			}
 		})
+		if err == nil {
+			h.storeDirectory(ctx, ownerRev, list, &stored)
+		}
 	}
 }
 
 // workerRow is what a successor needs to reach a worker whose entry has lapsed.
 type workerRow struct {
-	_       struct{} `cbor:",toarray"`
-	ID      string
-	Address string
-	Pool    string
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Address  string
+	Pool     string
+	Capacity resource.Vector
 }
 
-// recordWorkers stores which workers there are, if that has changed. Entries
-// that have lapsed while the store was away must not be forgotten, so a list
-// read shortly after an outage is not recorded.
-func (h *Host) recordWorkers(ctx context.Context, ownerRev int64, workers []work.Worker, before []byte) (after []byte) {
+// storeDirectory stores the directory of workers, if it has changed. Entries
+// that have lapsed while the store was away must not be forgotten, so it is not
+// changed shortly after an outage. A write that is late must not undo a newer
+// one, so each is conditional on the one before.
+func (h *Host) storeDirectory(ctx context.Context, ownerRev int64, list []work.Worker, stored *directory) {
 	if time.Since(h.store.LastBad()) < h.Bounds.StoreGrace {
-		return before
+		return
 	}
-	rows := make([]workerRow, 0, len(workers))
-	for i := range workers {
-		if workers[i].Draining {
-			continue // nothing is started there any more
-		}
-		rows = append(rows, workerRow{ID: workers[i].ID, Address: workers[i].Address, Pool: workers[i].Pool})
+	rows := make([]workerRow, 0, len(list))
+	for i := range list {
+		w := &list[i]
+		rows = append(rows, workerRow{ID: w.ID, Address: w.Address, Pool: w.Pool, Capacity: w.Capacity})
 	}
 	value, err := cbor.Marshal(rows)
-	if err != nil || bytes.Equal(value, before) {
-		return before
-	}
-	_, _, err = h.store.Write(ctx, kvstore.Txn{
-		Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}},
-		Puts:     []kvstore.Put{{Key: workersKey, Value: value}},
-	})
 	if err != nil {
-		return before
+		event.EntryMalformed.Log(h.Log).Str("key", workersKey).Err(err).Send()
+		return
+	}
+	if !stored.known {
+		item, err := h.store.Get(ctx, workersKey)
+		if err != nil {
+			return // the store's trouble is logged where it begins; the next round tries again
+		}
+		*stored = directory{value: item.Value, revision: item.Revision, known: true}
 	}
-	return value
+	if !bytes.Equal(value, stored.value) {
+		stored.known = false
+		revision, _, err := h.store.Write(ctx, kvstore.Txn{
+			Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}, {Key: workersKey, Revision: stored.revision}},
+			Puts:     []kvstore.Put{{Key: workersKey, Value: value}},
+		})
+		if err != nil {
+			return
+		}
+		*stored = directory{value: value, revision: revision, known: true}
+	}
+	h.post(func() {
+		if h.own != nil {
+			h.own.DirectoryStored(list)
+		}
+	})
 }
 
-// formerWorkers reads which workers the former owner knew.
+// formerWorkers reads the directory that the former owner has left.
 func (h *Host) formerWorkers(ctx context.Context) (workers []work.Worker, err error) {
 	item, err := h.store.Get(ctx, workersKey)
 	if err != nil || item.Revision == 0 {
@@ -93,7 +122,7 @@
 		return nil, nil
 	}
 	for _, row := range rows {
-		workers = append(workers, work.Worker{ID: row.ID, Address: row.Address, Pool: row.Pool})
+		workers = append(workers, work.Worker{ID: row.ID, Address: row.Address, Pool: row.Pool, Capacity: row.Capacity})
 	}
 	return workers, nil
 }
