--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -16,6 +16,9 @@
 )
 
 const (
+	// workersFirst is the time from a takeover to the first read: by then most
+	// workers have answered, and can be put into the directory.
+	workersFirst = 60 * time.Millisecond
 	// workersPeriod is the least time between two reads of the list of workers.
 	workersPeriod = 400 * time.Millisecond
 	// workersPeriodEach is added to it for each worker: long lists take a
@@ -35,7 +38,7 @@
 
 func (h *Host) followWorkers(ctx context.Context, ownerRev int64) {
 	var stored directory
-	period := workersPeriod
+	period := workersFirst
 	for ctx.Err() == nil {
 		pause(ctx, period)
 		workers, err := h.listWorkers(ctx)
