feat: latency histograms; perf: do not wait for a store that turns this host away

Requests, store calls, worker calls, waits of steps, ages of jobs and takeovers are histograms on the metrics page, beside the configuration's version and its age. A host that the store turned away by silence had one call in each 0.5 s wait 0.4 s for the direct way; that way is now tried beside the calls. The test failed before (a call waited for 200 ms of a 200 ms timeout).

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -45,6 +45,7 @@
 	failed     []int64 // runs of the whole gang that failed
 	advice     advice
 	startedAt  time.Duration // when the first task was ordered
+	doneAt     time.Duration // time of day at which a task was last done
 }
 
 type task struct {
@@ -140,6 +141,15 @@
 	return true
 }
 
+// ready returns the time of day from which the step could run.
+func (s *step) ready() (at time.Duration) {
+	at = max(s.job.spec.Accepted, s.job.spec.Due(s.occurrence))
+	for _, before := range s.before {
+		at = max(at, before.doneAt)
+	}
+	return at
+}
+
 // Accept takes in a job that is in the store. A job that is known already is
 // left as it is.
 func (o *Owner) Accept(spec *work.Job) {
@@ -205,6 +215,7 @@
 	o.record(j, recordSoon)
 	event.CellJobEnded.Log(o.Log).Str("job", j.spec.ID).Str("queue", j.spec.Queue).Str("state", string(state)).
 		Dur("age", j.endedAt-j.spec.Accepted).Send()
+	o.Ended(j.spec.Queue, state, j.endedAt-j.spec.Accepted)
 }
 
 // taskDone takes note that a task has ended as done.
@@ -216,6 +227,7 @@
 	t.dropCopy()
 	s := t.step
 	s.done++
+	s.doneAt = o.Wall()
 	s.job.left--
 	if s.job.left == 0 && !s.job.over() {
 		o.end(s.job, work.StateCompleted)
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -86,6 +86,11 @@
 	// Forget removes all that is stored of jobs that ended long ago.
 	Forget func(ids []string, done func(ok bool))
 
+	// Started is told how long the first task of a step waited since it could
+	// run, Ended how old a job was when it was over.
+	Started func(queue string, waited time.Duration)
+	Ended   func(queue string, state work.State, age time.Duration)
+
 	Counters Counters
 
 	jobs       map[string]*job
@@ -120,6 +125,8 @@
 func New() *Owner {
 	return &Owner{
 		Log:      zerolog.Nop(),
+		Started:  func(string, time.Duration) {},
+		Ended:    func(string, work.State, time.Duration) {},
 		jobs:     map[string]*job{},
 		nodes:    map[string]*node{},
 		usage:    map[string]resource.Vector{},
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -209,8 +209,9 @@
 	r.state = runOrdered
 	r.ordered = now
 	r.whole = r.task.startCheckpoint() == ""
-	if r.task.step.startedAt == 0 {
-		r.task.step.startedAt = now
+	if s := r.task.step; s.startedAt == 0 {
+		s.startedAt = now
+		o.Started(s.job.spec.Queue, o.Wall()-s.ready())
 	}
 	order := work.StartOrder{
 		Task: r.task.ref(), Run: r.number, Payload: r.task.step.job.spec.Payload,
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -48,9 +48,11 @@
 		return
 	}
 	event.CellClaimed.Log(h.Log).Int64("epoch", row.Epoch).Str("before", seen.Name).Int64("revision", claimed).Send()
+	begun := time.Now()
 	for ctx.Err() == nil {
 		err = h.takeOver(ctx, row, claimed)
 		if err == nil {
+			h.stats.observe("takeover_seconds", callBuckets, time.Since(begun))
 			return
 		}
 		event.ClaimFailed.Log(h.Log).Int64("epoch", row.Epoch).Int64("revision", claimed).Err(err).Send()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -76,6 +76,7 @@
 	store    *kvstore.Client
 	tables   atomic.Pointer[work.Tables]
 	read     atomic.Int64 // when the configuration was last read, Unix nanoseconds
+	vouched  atomic.Int64 // when the owner last read the version in force here, Unix nanoseconds
 	fresh    atomic.Int64 // until when the owner vouches that it has not changed
 	ready    atomic.Bool
 	stopping atomic.Bool
@@ -175,10 +176,11 @@
 	defer Error.WrapP(&err)
 	h.relay = &kvstore.Relay{
 		Direct: h.DirectStore, Through: h.storeThroughPeer, DirectTimeout: directTimeout, Changed: h.directChanged,
+		ProbeKey: ownerKey,
 	}
-	h.store = &kvstore.Client{Do: h.relay.Do, Timeout: storeTimeout}
+	h.store = &kvstore.Client{Do: h.observeStore(h.relay.Do), Timeout: storeTimeout}
 	h.adviser.busy, h.adviser.rest = map[string]time.Duration{}, map[string]time.Time{}
-	h.workers = &carrier.Server{Targets: h.Targets.Targets, Spawn: h.spawn, Leaving: h.stopping.Load}
+	h.workers = &carrier.Server{Targets: h.observeWorkers(h.Targets.Targets), Spawn: h.spawn, Leaving: h.stopping.Load}
 	listener, err := h.Listen(h.PeerAddress)
 	if err != nil {
 		return err
@@ -304,12 +306,23 @@
 // tablesRead returns when this host last read the configuration.
 func (h *Host) tablesRead() time.Time { return time.Unix(0, h.read.Load()) }
 
+// tablesConfirmed returns when the configuration in force was last known to be
+// the newest: read here, or vouched for by the owner.
+func (h *Host) tablesConfirmed() time.Time {
+	read, vouched := h.tablesRead(), time.Unix(0, h.vouched.Load())
+	if vouched.After(read) {
+		return vouched
+	}
+	return read
+}
+
 // vouch takes in the version that the owner has read a moment ago.
 func (h *Host) vouch(reply *beatReply) {
 	tables := h.tables.Load()
 	if tables == nil || reply.Version != tables.Version || reply.ReadAge > vouchedAge.Milliseconds() {
 		return
 	}
+	h.vouched.Store(time.Now().Add(-time.Duration(reply.ReadAge) * time.Millisecond).UnixNano())
 	h.fresh.Store(time.Now().Add(h.beatEvery() + vouchedMargin).UnixNano())
 }
 
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app"
@@ -12,22 +13,29 @@
 	"turmericspread.org/turmericspread/internal/cell"
 )
 
-// CountAnswer counts an answer to a caller.
-func (h *Host) CountAnswer(method string, status int) {
-	h.stats.set.GetOrCreateCounter(fmt.Sprintf(`turmericspread_answers_total{method=%q,status="%d"}`, method, status)).Inc()
-}
-
 // ServeMetrics registers the metrics page.
 func (h *Host) ServeMetrics(srv *server.Hertz) {
 	srv.GET("/metrics", func(ctx context.Context, c *app.RequestContext) {
 		var page bytes.Buffer
 		h.stats.set.WritePrometheus(&page)
+		h.writeTables(&page)
 		h.writeOwner(ctx, &page)
 		metrics.WriteProcessMetrics(&page)
 		c.Data(200, "text/plain; charset=utf-8", page.Bytes())
 	})
 }
 
+// writeTables writes which configuration is in force, and how long ago it was
+// known to be the newest.
+func (h *Host) writeTables(page *bytes.Buffer) {
+	tables := h.tables.Load()
+	if tables == nil {
+		return
+	}
+	fmt.Fprintf(page, "turmericspread_config_version %d\n", tables.Version)
+	fmt.Fprintf(page, "turmericspread_config_age_seconds %.3f\n", time.Since(h.tablesConfirmed()).Seconds())
+}
+
 // writeOwner writes the figures of the cell's owner, if this host is it.
 func (h *Host) writeOwner(ctx context.Context, page *bytes.Buffer) {
 	var counters cell.Counters
--- /dev/null
+++ b/internal/host/observe.go
@@ -0,0 +1,109 @@
+package host
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/carrier"
+	"turmericspread.org/turmericspread/internal/kvstore"
+	"turmericspread.org/turmericspread/internal/work"
+)
+
+var (
+	// callBuckets are the upper bounds, in seconds, for calls within the cell:
+	// from a healthy store's few milliseconds to the longest timeout.
+	callBuckets = []float64{0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5}
+	// waitBuckets are the upper bounds, in seconds, for waits of work: urgent
+	// work is to start within 0.25 s, and after an outage some waits for minutes.
+	waitBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300}
+)
+
+// observe adds a duration to the histogram called name, with its labels.
+func (s *Stats) observe(name string, buckets []float64, d time.Duration) {
+	s.set.GetOrCreatePrometheusHistogramExt("turmericspread_"+name, buckets).Update(d.Seconds())
+}
+
+// ObserveRequest adds an answered call of a caller to the metrics.
+func (h *Host) ObserveRequest(method string, status int, took time.Duration) {
+	h.stats.set.GetOrCreateCounter(fmt.Sprintf(`turmericspread_answers_total{method=%q,status="%d"}`, method, status)).Inc()
+	h.stats.observe(fmt.Sprintf(`request_seconds{method=%q,status="%dxx"}`, method, status/100), callBuckets, took)
+}
+
+// observeStore measures the calls to the store.
+func (h *Host) observeStore(do func(context.Context, kvstore.Request) (kvstore.Response, error)) func(context.Context, kvstore.Request) (kvstore.Response, error) {
+	return func(ctx context.Context, req kvstore.Request) (resp kvstore.Response, err error) {
+		begun := time.Now()
+		resp, err = do(ctx, req)
+		if req.Watch == nil { // a watch waits on purpose
+			name := fmt.Sprintf(`store_call_seconds{kind=%q,result=%q}`, storeKind(&req), storeResult(resp, err))
+			h.stats.observe(name, callBuckets, time.Since(begun))
+		}
+		return resp, err
+	}
+}
+
+func storeKind(req *kvstore.Request) string {
+	switch {
+	case req.Txn != nil:
+		return "write"
+	case req.Range != nil:
+		return "list"
+	}
+	return "get"
+}
+
+func storeResult(resp kvstore.Response, err error) string {
+	switch {
+	case err == nil && resp.Conflict:
+		return "conflict"
+	case err == nil:
+		return "ok"
+	case kvstore.NothingDone(err):
+		return "refused"
+	}
+	return "unknown"
+}
+
+// observeWorkers measures the calls to workers that this host makes.
+func (h *Host) observeWorkers(t carrier.Targets) carrier.Targets {
+	note := func(call string, begun time.Time, err error) {
+		result := "ok"
+		switch {
+		case work.Refused(err):
+			result = "refused"
+		case err != nil:
+			result = "unknown"
+		}
+		h.stats.observe(fmt.Sprintf(`worker_call_seconds{call=%q,result=%q}`, call, result), callBuckets, time.Since(begun))
+	}
+	return carrier.Targets{
+		Start: func(ctx context.Context, w work.Worker, order work.StartOrder) (report work.OrderReport, err error) {
+			defer func(begun time.Time) { note("start", begun, err) }(time.Now())
+			return t.Start(ctx, w, order)
+		},
+		Stop: func(ctx context.Context, w work.Worker, order work.RunOrder) (report work.OrderReport, err error) {
+			defer func(begun time.Time) { note("stop", begun, err) }(time.Now())
+			return t.Stop(ctx, w, order)
+		},
+		Hold: func(ctx context.Context, w work.Worker, order work.HoldOrder) (report work.HoldReport, err error) {
+			defer func(begun time.Time) { note("hold", begun, err) }(time.Now())
+			return t.Hold(ctx, w, order)
+		},
+		Pace: func(ctx context.Context, w work.Worker, order work.RunOrder, percent int) (report work.OrderReport, err error) {
+			defer func(begun time.Time) { note("pace", begun, err) }(time.Now())
+			return t.Pace(ctx, w, order, percent)
+		},
+	}
+}
+
+// observeStart adds the wait of a task, from the time it could run to its first
+// start, to the metrics.
+func (h *Host) observeStart(queue string, waited time.Duration) {
+	h.stats.observe(fmt.Sprintf(`start_wait_seconds{queue=%q}`, queue), waitBuckets, waited)
+}
+
+// observeJob adds a job that is over to the metrics.
+func (h *Host) observeJob(queue string, state work.State, age time.Duration) {
+	h.stats.observe(fmt.Sprintf(`job_seconds{queue=%q,state=%q}`, queue, state), waitBuckets, age)
+}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -33,6 +33,7 @@
 			h.release(reason)
 		}
 	}
+	o.Started, o.Ended = h.observeStart, h.observeJob
 	h.connectWorkers(ctx, o)
 	o.Advise = func(order work.AdviceOrder, cost time.Duration, done func(work.AdviceReport, error)) {
 		callTarget(h, ctx, adviceTimeout, done, func(ctx context.Context) (work.AdviceReport, error) {
--- a/internal/kvstore/relay.go
+++ b/internal/kvstore/relay.go
@@ -18,6 +18,8 @@
 	Through func(ctx context.Context, req Request) (Response, error)
 	// DirectTimeout bounds the direct try.
 	DirectTimeout time.Duration
+	// ProbeKey is read to find out whether the direct way works again.
+	ProbeKey string
 	// Changed is told when the direct way is lost or regained.
 	Changed func(direct bool, err error)
 
@@ -29,18 +31,23 @@
 // way costs one more hop, so it is not left for long.
 const directRetry = 500 * time.Millisecond
 
-// Do carries out req by the first way that answers. A write without an answer
+// Do carries out req by the first way that answers. While the direct way fails,
+// calls go the other way at once and the direct one is tried beside them: a
+// store that turns a host away may do so by silence. A write without an answer
 // is sent again only if it has a condition, which lets it be done once at most.
 func (r *Relay) Do(ctx context.Context, req Request) (resp Response, err error) {
-	err = ErrUnreachable
-	if !r.failing.Load() || time.Now().UnixNano() >= r.nextTry.Load() {
-		resp, err = r.direct(ctx, req)
-		if err == nil {
-			return resp, nil
+	if r.Through != nil && r.failing.Load() {
+		r.probe()
+		resp, err = r.Through(ctx, req)
+		if !errs.Is(err, ErrUnreachable) || ctx.Err() != nil {
+			return resp, err
 		}
+		// No other host can be reached: the direct way is all there is.
+		return r.direct(ctx, req)
 	}
-	if r.Through == nil || ctx.Err() != nil || errs.Is(err, ErrCompacted) {
-		return Response{}, err
+	resp, err = r.direct(ctx, req)
+	if err == nil || r.Through == nil || ctx.Err() != nil || errs.Is(err, ErrCompacted) {
+		return resp, err
 	}
 	if req.Txn != nil && len(req.Txn.Expected) == 0 && !NothingDone(err) {
 		return Response{}, err
@@ -56,6 +63,19 @@
 	return Response{}, err
 }
 
+// probe tries the direct way in the background, if that is due.
+func (r *Relay) probe() {
+	now := time.Now()
+	next := r.nextTry.Load()
+	if now.UnixNano() < next || !r.nextTry.CompareAndSwap(next, now.Add(directRetry).UnixNano()) {
+		return
+	}
+	go func() {
+		// What comes of it is noted in failing and told to Changed.
+		_, _ = r.direct(context.Background(), Request{Get: r.ProbeKey})
+	}()
+}
+
 func (r *Relay) direct(ctx context.Context, req Request) (resp Response, err error) {
 	timeout := r.DirectTimeout
 	if req.Watch != nil {
--- a/internal/kvstore/relay_test.go
+++ b/internal/kvstore/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,3 +63,41 @@
 	assert.Equal(t, tries, 1)
 	assert.Equal(t, changes, 1)
 }
+
+// TestRelayDoesNotWaitForASilentStore finds the direct way again without having
+// a call wait for its timeout.
+func TestRelayDoesNotWaitForASilentStore(t *testing.T) {
+	var silent, probes atomic.Int64
+	silent.Store(1)
+	relay := &Relay{
+		Direct: func(ctx context.Context, req Request) (Response, error) {
+			if req.Get == "probe" {
+				probes.Add(1)
+			}
+			if silent.Load() == 1 {
+				<-ctx.Done()
+				return Response{}, ErrUnknown
+			}
+			return Response{Revision: 1}, nil
+		},
+		Through:       func(context.Context, Request) (Response, error) { return Response{Revision: 2}, nil },
+		DirectTimeout: 200 * time.Millisecond,
+		ProbeKey:      "probe",
+	}
+	_, err := relay.Do(context.Background(), Request{Get: "a"}) // finds out
+	assert.NilError(t, err)
+	for begun := time.Now(); time.Since(begun) < 1500*time.Millisecond; time.Sleep(5 * time.Millisecond) {
+		call := time.Now()
+		_, err := relay.Do(context.Background(), Request{Get: "a"})
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(call) < 100*time.Millisecond, "a call waited for %s", time.Since(call))
+	}
+	assert.Assert(t, probes.Load() >= 2)
+	silent.Store(0)
+	for begun := time.Now(); time.Since(begun) < 2*time.Second; time.Sleep(5 * time.Millisecond) {
+		if resp, err := relay.Do(context.Background(), Request{Get: "a"}); err == nil && resp.Revision == 1 {
+			return
+		}
+	}
+	t.Fatal("the direct way is not used again")
+}
