--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -29,7 +29,10 @@
 	callCarry    = "carry"
 )
 
-type beatRequest struct{ Member memberRow }
+type beatRequest struct {
+	Member    memberRow
+	StoreLost bool // the store turns the sender away
+}
 
 type beatReply struct {
 	Instance string
@@ -101,6 +104,7 @@
 	err = h.loop.Call(ctx, func() {
 		out.Owner = h.own != nil
 		h.heard[in.Member.Instance] = time.Now()
+		h.cutOff[in.Member.Instance] = in.StoreLost
 		if h.noteMember(in.Member) {
 			h.publish()
 		}
@@ -149,6 +153,7 @@
 			continue
 		case callErr != nil || reply.Failure == failureUnknown:
 			err = kvstore.ErrUnknown
+			h.relayLast.Store(nil)
 			if req.Txn != nil {
 				return kvstore.Response{}, err
 			}
@@ -157,9 +162,11 @@
 		case reply.Failure == failureRefused:
 			err = kvstore.ErrRefused
 		default:
+			h.relayLast.Store(&address)
 			return reply.Response, nil
 		}
 	}
+	h.relayLast.Store(nil)
 	return kvstore.Response{}, err
 }
 
@@ -177,14 +184,16 @@
 			list = append(list, seed)
 		}
 	}
-	if len(list) <= relayTries {
-		return list
+	if len(list) == 0 {
+		return nil
 	}
+	// The host that answered last goes first: others may be cut off as well.
 	first := int(h.stats.relayTurn.Add(1)) % len(list)
-	for i := range relayTries {
-		list = append(list, list[(first+i)%len(list)])
+	if last := h.relayLast.Load(); last != nil {
+		first = max(slices.Index(list, *last), 0)
 	}
-	return list[len(list)-relayTries:]
+	list = append(list[first:], list[:first]...)
+	return list[:min(relayTries, len(list))]
 }
 
 // refusedConnection reports whether err proves that no process listens at an
@@ -365,8 +374,9 @@
 	return alive
 }
 
-// successors lists the hosts heard lately: strong ones first, then those that
-// started last. In a rolling restart these are not stopped again.
+// successors lists the hosts heard lately: those that the store serves first,
+// then strong ones, then those that started last. In a rolling restart these are
+// not stopped again.
 func (h *Host) successors() (list []memberRow) {
 	alive := h.aliveAddresses()
 	for _, m := range h.view.Load().members {
@@ -375,6 +385,9 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b memberRow) int {
+		if c := compareTrue(!h.cutOff[a.Instance], !h.cutOff[b.Instance]); c != 0 {
+			return c
+		}
 		if c := cmp.Compare(b.Power, a.Power); c != 0 {
 			return c
 		}
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -127,7 +127,7 @@
 	h.spawn(func() { h.followWorkers(ownCtx, revision) })
 	h.spawn(func() { h.followJobs(ownCtx, watchFrom) })
 	h.spawn(func() { h.markAlive(ownCtx, revision) })
-	h.spawn(func() { h.yieldToStronger(ownCtx) })
+	h.spawn(func() { h.yield(ownCtx) })
 	return nil
 }
 
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -9,25 +9,39 @@
 )
 
 const (
-	// yieldPeriod is the time between two looks for a stronger host. The first
-	// comes well before traffic does after a cold start.
-	yieldPeriod = 3 * time.Second
+	// yieldPeriod is the time between two looks for a host that should own the
+	// cell instead.
+	yieldPeriod = 200 * time.Millisecond
+	// yieldAfter is how long a host owns the cell before it yields to a stronger
+	// one: by then all hosts have been heard, and after a cold start it is well
+	// before traffic comes.
+	yieldAfter = 3 * time.Second
 	// yieldRatio is how much more processor another host must have: a hand-over
 	// stands still for some tenths of a second.
 	yieldRatio = 1.5
+	// cutOffAfter is how long the store must have turned the owner away before it
+	// yields to a host that the store serves: relayed writes take longer, and some
+	// are lost.
+	cutOffAfter = 400 * time.Millisecond
 )
 
-// yieldToStronger hands the cell over to a host with clearly more processor:
-// after a cold start any host may have claimed it first.
-func (h *Host) yieldToStronger(ctx context.Context) {
+// yield hands the cell over to a host that serves it better: one with clearly
+// more processor, as after a cold start any host may have claimed it first, or
+// one that reaches the store if this one does not.
+func (h *Host) yield(ctx context.Context) {
+	begun := time.Now()
 	for ctx.Err() == nil {
 		pause(ctx, yieldPeriod)
-		stronger := false
+		better := false
 		err := h.loop.Call(ctx, func() {
 			list := h.successors()
-			stronger = len(list) > 0 && list[0].Power >= yieldRatio*h.Power
+			if len(list) == 0 || h.cutOff[list[0].Instance] {
+				return
+			}
+			better = h.relay.Lost() >= cutOffAfter ||
+				time.Since(begun) >= yieldAfter && list[0].Power >= yieldRatio*h.Power
 		})
-		if err == nil && stronger {
+		if err == nil && better {
 			h.handOverOnce(ctx)
 		}
 	}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,7 +87,9 @@
 	look     chan struct{} // asks for a read of the cell's rows
 	adviser  adviser
 	workers  *carrier.Server
-	stats    *Stats
+
+	relayLast atomic.Pointer[string] // address of the host that relayed a call last
+	stats     *Stats
 
 	seeds atomic.Pointer[[]string]
 	view  atomic.Pointer[view] // of the cell, for other goroutines
@@ -100,6 +102,7 @@
 	beatSeen  time.Time // when beatRev was first seen
 	members   map[string]memberRow
 	heard     map[string]time.Time // when another host was heard last, by instance
+	cutOff    map[string]bool      // whether the store turns a host away, by instance
 	own       *cell.Owner
 	ownCancel context.CancelFunc
 	carriers  *carrier.Client // of the ownership
@@ -132,6 +135,7 @@
 		peers:         peer.NewClient(),
 		members:       map[string]memberRow{},
 		heard:         map[string]time.Time{},
+		cutOff:        map[string]bool{},
 		started:       time.Now(),
 		look:          make(chan struct{}, 1),
 		stats:         newStats(),
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -256,7 +256,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
 		reply, err := peer.Call[beatRequest, beatReply](callCtx, h.peers, v.owner.Address, callBeat, &beatRequest{
-			Member: h.member(),
+			Member: h.member(), StoreLost: h.relay.Lost() > 0,
 		})
 		cancel()
 		gone := err != nil && refusedConnection(err) || err == nil && reply.Instance != v.owner.Instance
--- a/internal/kvstore/relay.go
+++ b/internal/kvstore/relay.go
@@ -23,8 +23,17 @@
 	// Changed is told when the direct way is lost or regained.
 	Changed func(direct bool, err error)
 
-	failing atomic.Bool
-	nextTry atomic.Int64
+	failing      atomic.Bool
+	failingSince atomic.Int64 // Unix nanoseconds
+	nextTry      atomic.Int64
+}
+
+// Lost returns for how long the direct way has failed, 0 if it works.
+func (r *Relay) Lost() time.Duration {
+	if !r.failing.Load() {
+		return 0
+	}
+	return time.Since(time.Unix(0, r.failingSince.Load()))
 }
 
 // directRetry is how often the direct way is tried while it fails; the other
@@ -91,6 +100,9 @@
 	if failing {
 		r.nextTry.Store(time.Now().Add(directRetry).UnixNano())
 	}
+	if r.failing.Load() != failing {
+		r.failingSince.Store(time.Now().UnixNano())
+	}
 	if r.failing.Swap(failing) != failing && r.Changed != nil {
 		r.Changed(!failing, err)
 	}
