perf: a worker whose address has another worker is gone with all it ran

Nine workers had crashed behind a cut and were back under new ids at their addresses; holds for the old ids were refused by the new ones (421), and the owner waited 14.4 s for leases of processes that no longer were. With an unknown use of nine whole workers counted, every team was at its limit, so new jobs waited as well. Ruled out: the outage before (19.7 to 24.2) and the two takeovers (restored at 24.28). A refusal by another incarnation now ends the runs of the old one at once, in a takeover as well as later; what a team may use unknown is bounded by its own tasks that are not seen. An owner yields for the store's sake only after 1 s: one yielded 0.4 s after an outage of the whole store.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -194,8 +194,8 @@
 	s.run(time.Second)
 	s.workers["w02"].cutFor(time.Minute)
 	s.run(s.now + 4*time.Second)
-	s.submit("a", tasksOf(2, time.Second))
 	s.owner.dead = true
+	s.submit("a", tasksOf(2, time.Second))
 	s.run(s.now + 500*time.Millisecond)
 	s.claim()
 	assert.Assert(t, s.startsWithin("a", 300*time.Millisecond))
@@ -207,9 +207,9 @@
 	s := newSim(t, 1, 4)
 	s.claim()
 	s.run(time.Second)
-	s.submit("a", tasksOf(2, time.Second))
 	s.fresh = true
 	s.owner.dead = true
+	s.submit("a", tasksOf(2, time.Second))
 	s.workers["w02"].cutFor(time.Minute)
 	s.run(s.now + 500*time.Millisecond)
 	s.claim()
@@ -228,7 +228,7 @@
 	s.run(time.Second)
 	next := tasksOf(2, time.Second)
 	next.After = []int{0}
-	s.submit("a", tasksOf(1, 6*time.Second), next)
+	s.submit("a", tasksOf(1, 3*time.Second), next)
 	assert.Assert(t, s.startsWithin("a", 300*time.Millisecond))
 	for _, w := range s.workers {
 		if len(w.runs) == 0 {
@@ -243,12 +243,45 @@
 	s.run(s.now + 1500*time.Millisecond)
 	s.store.down = true
 	s.submit("b", tasksOf(1, time.Second)) // has a record written, which fails
-	s.run(s.now + 9500*time.Millisecond)
-	s.store.down = false
-	s.run(s.now + time.Second)
+	s.run(s.now + 7*time.Second)
+	ended := 0
+	for _, w := range s.workers {
+		for _, end := range w.ends {
+			if end.Task.Job == "a" {
+				ended++
+			}
+		}
+	}
+	assert.Equal(t, ended, 3, "both steps have run during the outage")
+}
+
+// TestReplacedWorkerFreesItsTasks has a worker crash and another one start at
+// its address: what it ran is started elsewhere without a wait for its lease.
+func TestReplacedWorkerFreesItsTasks(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.claim()
+	s.submit("a", tasksOf(12, 2*time.Second))
+	s.run(500 * time.Millisecond)
+	s.workers["w01"].replace(300 * time.Millisecond)
+	s.run(6 * time.Second)
 	s.assertState("a", work.StateCompleted)
 }
 
+// TestReplacedWorkerDoesNotDelayASuccessor has a worker replaced while there is
+// no owner.
+func TestReplacedWorkerDoesNotDelayASuccessor(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.fresh = true
+	s.claim()
+	s.run(time.Second)
+	s.owner.dead = true
+	s.submit("a", tasksOf(2, time.Second))
+	s.workers["w02"].replace(300 * time.Millisecond)
+	s.run(s.now + 500*time.Millisecond)
+	s.claim()
+	assert.Assert(t, s.startsWithin("a", 300*time.Millisecond))
+}
+
 // TestMaximumIsKept counts what is being stopped against the team's maximum.
 func TestMaximumIsKept(t *testing.T) {
 	s := newSim(t, 1, 4)
@@ -372,7 +405,7 @@
 func (s *sim) randomFault() {
 	w := s.workers[fmt.Sprintf("w%02d", s.rng.IntN(len(s.workers)))]
 	d := time.Duration(s.rng.Int64N(int64(8 * time.Second)))
-	switch s.rng.IntN(9) {
+	switch s.rng.IntN(10) {
 	case 0:
 		s.owner.dead = true
 		s.at(d/4, s.claimWhenUp)
@@ -401,6 +434,11 @@
 	case 7:
 		w.slow = 2 + 8*s.rng.Float64()
 		s.at(d, func() { w.slow = 0 })
+	case 9:
+		if !w.replaced && s.replaced < 3 {
+			s.replaced++
+			w.replace(d / 4)
+		}
 	case 8:
 		w.hangs = true
 		s.at(d, func() { w.hangs = false })
--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -35,6 +35,8 @@
 		case errs.Is(err, work.ErrFenced):
 			o.fenced(n, order.Fence)
 			n.nextHold = received + probePause
+		case errs.Is(err, work.ErrOtherLife):
+			o.replaced(n, received)
 		default:
 			o.holdMissed(n, err, received)
 		}
@@ -64,6 +66,22 @@
 	}
 }
 
+// replaced notes that another worker answers at the worker's address: its
+// process is gone for good, and with it all that it ran.
+func (o *Owner) replaced(n *node, now time.Duration) {
+	n.nextHold = now + replacedPause
+	if n.misses < silentMisses || len(n.runs) > 0 {
+		event.CellWorkerReplaced.Log(o.Log).Str("worker", n.w.ID).Str("address", n.w.Address).Int("runs", len(n.runs)).Send()
+	}
+	n.misses = max(n.misses, silentMisses)
+	n.heard, n.former = false, false
+	n.letGo = now
+	for _, r := range runsOf(n) {
+		o.lost(r, "another worker is at its address")
+	}
+	o.changed = true
+}
+
 // held takes in what a worker runs and what has ended.
 func (o *Owner) held(n *node, order work.HoldOrder, report work.HoldReport, sent, received time.Duration) {
 	if n.born != 0 && report.Born != 0 && report.Born != n.born {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -70,6 +70,9 @@
 	// probePause is the time between two looks at a worker that does not answer,
 	// or whose ends cannot be recorded.
 	probePause = 250 * time.Millisecond
+	// replacedPause is the time between two looks at a worker whose address has
+	// another one, until its entry is gone.
+	replacedPause = 2 * time.Second
 	// clockDrift bounds how slow a worker's clock may be.
 	clockDrift = 1.03
 	// leaseMargin covers what is sent before and arrives after a lease is read.
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -84,6 +84,29 @@
 	return sum
 }
 
+// unknownOf is what a team may be using by runs that are not known: no more than
+// the tasks of its restored jobs that are not seen anywhere.
+func (o *Owner) unknownOf(team string) (most resource.Vector) {
+	if o.unknown == (resource.Vector{}) {
+		return most
+	}
+	for _, j := range o.active {
+		if !j.restored || j.spec.Team != team {
+			continue
+		}
+		for _, t := range j.tasks {
+			if !t.done && len(t.runs) == 0 {
+				most = most.Add(t.step.spec.Want)
+			}
+		}
+	}
+	return resource.Vector{
+		MilliCores:   min(most.MilliCores, o.unknown.MilliCores),
+		MemoryMB:     min(most.MemoryMB, o.unknown.MemoryMB),
+		Accelerators: min(most.Accelerators, o.unknown.Accelerators),
+	}
+}
+
 func (o *Owner) usableNodes(now time.Duration) (pools map[string]*pool) {
 	pools = map[string]*pool{}
 	for _, n := range o.order {
@@ -310,7 +333,7 @@
 	if !ok {
 		return true
 	}
-	used := o.usage[team.Name].Add(o.unknown).Add(s.spec.Want.Scale(int64(count)))
+	used := o.usage[team.Name].Add(o.unknownOf(team.Name)).Add(s.spec.Want.Scale(int64(count)))
 	over := func(used, most int64) bool { return most > 0 && used > most }
 	return !over(used.MilliCores, team.Maximum.MilliCores) && !over(used.MemoryMB, team.Maximum.MemoryMB) &&
 		!over(used.Accelerators, team.Maximum.Accelerators)
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -33,6 +33,7 @@
 	trace     []string
 	lapsed    bool          // entries of every other worker have lapsed in the store
 	directory []work.Worker // workers as the last owner recorded them
+	replaced  int           // workers that are gone for good
 	fresh     bool          // owners are processes that have just started
 	// loseAnswer and delayOrder are the chances of these faults for one order.
 	loseAnswer, delayOrder float64
@@ -249,7 +250,7 @@
 	if !o.sim.store.down {
 		o.call(func() {
 			o.SetWorkers(o.sim.list())
-			if o.sim.store.ownerRev != o.rev || o.StoreLost() < o.Bounds.StoreGrace {
+			if o.sim.store.ownerRev != o.rev || o.sim.now-o.sim.store.lost < o.Bounds.StoreGrace {
 				return
 			}
 			o.sim.directory = o.Directory()
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -23,6 +23,7 @@
 	cut      bool // no call reaches it
 	down     bool
 	unlisted bool
+	replaced bool    // another worker answers at its address
 	fails    bool    // fails all that it starts
 	hangs    bool    // what it starts stands still
 	slow     float64 // how many times as long what it starts takes; 0: once
@@ -68,6 +69,8 @@
 func (w *simWorker) start(order work.StartOrder) (work.OrderReport, error) {
 	name := order.Task.String()
 	switch {
+	case w.replaced:
+		return work.OrderReport{}, work.ErrOtherLife
 	case w.refuse != nil:
 		return work.OrderReport{}, w.refuse
 	case order.Fence < w.fence:
@@ -154,7 +157,10 @@
 
 func (w *simWorker) stop(order work.RunOrder) (work.OrderReport, error) {
 	name := order.Task.String()
-	if order.Fence < w.fence {
+	switch {
+	case w.replaced:
+		return work.OrderReport{}, work.ErrOtherLife
+	case order.Fence < w.fence:
 		return work.OrderReport{}, work.ErrFenced
 	}
 	w.fence = order.Fence
@@ -170,6 +176,9 @@
 }
 
 func (w *simWorker) holdBegin(order work.HoldOrder) error {
+	if w.replaced {
+		return work.ErrOtherLife
+	}
 	if order.Fence < w.fence {
 		return work.ErrFenced
 	}
@@ -216,6 +225,16 @@
 	})
 }
 
+// replace ends the worker; another one is at its address after d.
+func (w *simWorker) replace(d time.Duration) {
+	w.sim.note("%s is replaced within %s", w.w.ID, d)
+	w.down = true
+	w.w.Born++
+	w.runs, w.stopped, w.ends, w.waiters = map[string]*simRun{}, map[string]int64{}, nil, nil
+	w.sim.at(d, func() { w.replaced, w.down = true, false })
+	w.sim.at(d+5*time.Second, func() { w.unlisted = true })
+}
+
 func (w *simWorker) cutFor(d time.Duration) {
 	w.sim.note("%s is cut off for %s", w.w.ID, d)
 	w.cut = true
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -19,6 +19,9 @@
 	// yieldRatio is how much more processor another host must have: a hand-over
 	// stands still for some tenths of a second.
 	yieldRatio = 1.5
+	// yieldLeast is how long a host owns the cell before it yields for any reason:
+	// right after an outage of the store all hosts seem to be turned away.
+	yieldLeast = time.Second
 	// cutOffAfter is how long the store must have turned the owner away before it
 	// yields to a host that the store serves: relayed writes take longer, and some
 	// are lost.
@@ -38,7 +41,7 @@
 			if len(list) == 0 || h.cutOff[list[0].Instance] {
 				return
 			}
-			better = h.relay.Lost() >= cutOffAfter ||
+			better = h.relay.Lost() >= cutOffAfter && time.Since(begun) >= yieldLeast ||
 				time.Since(begun) >= yieldAfter && list[0].Power >= yieldRatio*h.Power
 		})
 		if err == nil && better {
