fix: ask the adviser only through hosts that were heard lately

Each question on it went to a host that had been removed for good 63 s before and failed after 1.1 s. Its row stays in the store, and as the first of its lane it was exempt from the rest after a failure, which was meant for the asking host itself; with nothing to do it always had the least load. Hosts that ask are now those that were heard lately, and one that failed is taken only if all have.

--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -22,7 +22,7 @@
 	o.StoreUp, o.StoreLost = h.storeUp, h.storeLost
 	o.TroubleSeen = func() bool { return time.Since(h.store.LastBad()) < troubleMemory }
 	o.Advisers = func(cost time.Duration) int {
-		hosts := make([]string, max(len(h.members), 1))
+		hosts := h.adviserHosts()
 		if cost < heavyAdvice {
 			return lightPerHost * len(lane(hosts, cost))
 		}
@@ -36,8 +36,9 @@
 	o.Started, o.Ended = h.observeStart, h.observeJob
 	h.connectWorkers(ctx, o)
 	o.Advise = func(order work.AdviceOrder, cost time.Duration, done func(work.AdviceReport, error)) {
+		addresses := h.adviserHosts()
 		callTarget(h, ctx, adviceTimeout, done, func(ctx context.Context) (work.AdviceReport, error) {
-			return h.advise(ctx, order, cost)
+			return h.advise(ctx, addresses, order, cost)
 		})
 	}
 	o.Save = func(batch []cell.Write, done func([]cell.Saved)) { h.saveProgress(ctx, revision, batch, done) }
