--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -282,6 +282,25 @@
 	assert.Assert(t, s.startsWithin("a", 300*time.Millisecond))
 }
 
+// TestOldListStopsStarts does not read the list of workers in time, as on a host
+// with too little processor: a worker that drains would not be known.
+func TestOldListStopsStarts(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.claim()
+	s.run(time.Second)
+	s.listStuck = true
+	s.run(s.now + 2*time.Second)
+	s.submit("a", tasksOf(2, time.Second))
+	assert.Assert(t, !s.startsWithin("a", time.Second))
+	s.listStuck = false
+	assert.Assert(t, s.startsWithin("a", 500*time.Millisecond))
+	s.listStuck = true
+	s.store.down = true
+	s.run(s.now + 4*time.Second)
+	s.submit("b", tasksOf(2, time.Second))
+	assert.Assert(t, s.startsWithin("b", time.Second), "without the store work goes on")
+}
+
 // TestMaximumIsKept counts what is being stopped against the team's maximum.
 func TestMaximumIsKept(t *testing.T) {
 	s := newSim(t, 1, 4)
--- a/internal/cell/hold.go
+++ b/internal/cell/hold.go
@@ -17,8 +17,7 @@
 		order.Deadline = n.clockAt(now) + o.Bounds.MaxHold
 		n.extend(now, o.Bounds.MaxHold)
 		if len(n.ends) == 0 {
-			order.Wait = (o.nextMeasure(n, now+holdWait) - now).Truncate(time.Millisecond)
-			order.Wait = max(order.Wait, endPause)
+			order.Wait = holdWait
 		}
 	}
 	n.holdBusy = true
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -74,6 +74,7 @@
 // SetWorkers takes in the list of workers.
 func (o *Owner) SetWorkers(list []work.Worker) {
 	now := o.Now()
+	o.listedAt = now
 	seen := make(map[string]bool, len(list))
 	for i := range list {
 		w := list[i]
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -96,9 +96,11 @@
 	jobs       map[string]*job
 	active     []*job // not terminal, by age
 	nodes      map[string]*node
+	listedAt   time.Duration              // when the list of workers was taken in last
 	order      []*node                    // by id
 	usage      map[string]resource.Vector // by team
 	unknown    resource.Vector            // what runs that are not known may use
+	unknownOf  map[string]resource.Vector // the same by team
 	rates      map[string]*sched.Allowance
 	opened     time.Duration // when the owner began
 	settling   time.Duration // until when starts wait for unreached workers
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -35,11 +35,17 @@
 
 // schedule places what waits, best rank first.
 func (o *Owner) schedule(now time.Duration) {
+	if o.StoreUp() && now-o.listedAt > listAge {
+		// A worker may have begun to drain. Without the store nobody can tell.
+		o.changed = true
+		return
+	}
 	defer o.restAfterPass(now)
 	o.unknown = resource.Vector{}
 	if now < o.settling {
 		o.unknown = o.unsettledCapacity(now)
 	}
+	o.unknownOf = o.unknownUse()
 	groups := o.waiting(now)
 	if len(groups) == 0 {
 		return
@@ -73,6 +79,10 @@
 // longestRest bounds the pause between two passes.
 const longestRest = 100 * time.Millisecond
 
+// listAge is the age of the list of workers up to which work is started by it:
+// a worker that drains must get none two seconds after it has said so.
+const listAge = 1600 * time.Millisecond
+
 // unsettledCapacity is what may be in use by runs that are not known: starts of
 // the former owner without a record, on workers that have not answered yet.
 func (o *Owner) unsettledCapacity(now time.Duration) (sum resource.Vector) {
@@ -84,27 +94,31 @@
 	return sum
 }
 
-// unknownOf is what a team may be using by runs that are not known: no more than
-// the tasks of its restored jobs that are not seen anywhere.
-func (o *Owner) unknownOf(team string) (most resource.Vector) {
+// unknownUse is what each team may be using by runs that are not known: no more
+// than the tasks of its restored jobs that are not seen anywhere.
+func (o *Owner) unknownUse() (teams map[string]resource.Vector) {
+	teams = map[string]resource.Vector{}
 	if o.unknown == (resource.Vector{}) {
-		return most
+		return teams
 	}
 	for _, j := range o.active {
-		if !j.restored || j.spec.Team != team {
+		if !j.restored {
 			continue
 		}
-		for _, t := range j.tasks {
-			if !t.done && len(t.runs) == 0 {
-				most = most.Add(t.step.spec.Want)
-			}
+		sum := teams[j.spec.Team]
+		for _, s := range j.steps {
+			sum = sum.Add(s.spec.Want.Scale(int64(max(len(s.tasks)-s.done-s.running, 0))))
 		}
+		teams[j.spec.Team] = sum
 	}
-	return resource.Vector{
-		MilliCores:   min(most.MilliCores, o.unknown.MilliCores),
-		MemoryMB:     min(most.MemoryMB, o.unknown.MemoryMB),
-		Accelerators: min(most.Accelerators, o.unknown.Accelerators),
+	for team, sum := range teams {
+		teams[team] = resource.Vector{
+			MilliCores:   min(sum.MilliCores, o.unknown.MilliCores),
+			MemoryMB:     min(sum.MemoryMB, o.unknown.MemoryMB),
+			Accelerators: min(sum.Accelerators, o.unknown.Accelerators),
+		}
 	}
+	return teams
 }
 
 func (o *Owner) usableNodes(now time.Duration) (pools map[string]*pool) {
@@ -333,7 +347,7 @@
 	if !ok {
 		return true
 	}
-	used := o.usage[team.Name].Add(o.unknownOf(team.Name)).Add(s.spec.Want.Scale(int64(count)))
+	used := o.usage[team.Name].Add(o.unknownOf[team.Name]).Add(s.spec.Want.Scale(int64(count)))
 	over := func(used, most int64) bool { return most > 0 && used > most }
 	return !over(used.MilliCores, team.Maximum.MilliCores) && !over(used.MemoryMB, team.Maximum.MemoryMB) &&
 		!over(used.Accelerators, team.Maximum.Accelerators)
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -33,6 +33,7 @@
 	trace     []string
 	lapsed    bool          // entries of every other worker have lapsed in the store
 	directory []work.Worker // workers as the last owner recorded them
+	listStuck bool          // the list of workers is not read
 	replaced  int           // workers that are gone for good
 	fresh     bool          // owners are processes that have just started
 	// loseAnswer and delayOrder are the chances of these faults for one order.
@@ -247,7 +248,7 @@
 	if o.dead {
 		return
 	}
-	if !o.sim.store.down {
+	if !o.sim.store.down && !o.sim.listStuck {
 		o.call(func() {
 			o.SetWorkers(o.sim.list())
 			if o.sim.store.ownerRev != o.rev || o.sim.now-o.sim.store.lost < o.Bounds.StoreGrace {
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -98,18 +98,6 @@
 	slownessAge = 800 * time.Millisecond
 )
 
-// nextMeasure returns when the speed of a run on the worker is to be measured,
-// if that is before the given time. A worker on which a run has ended in time
-// since needs no look of its own.
-func (o *Owner) nextMeasure(n *node, before time.Duration) time.Duration {
-	for _, r := range n.runs {
-		if r.measured() && r.firstAt > 0 && n.soundAt < r.looked {
-			before = min(before, r.looked+speedWindow)
-		}
-	}
-	return before
-}
-
 // measure compares the runs on a worker with what was seen of them before, and
 // moves those that straggle.
 func (o *Owner) measure(n *node, now time.Duration) {
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -19,13 +19,14 @@
 	// yieldRatio is how much more processor another host must have: a hand-over
 	// stands still for some tenths of a second.
 	yieldRatio = 1.5
-	// yieldLeast is how long a host owns the cell before it yields for any reason:
-	// right after an outage of the store all hosts seem to be turned away.
-	yieldLeast = time.Second
 	// cutOffAfter is how long the store must have turned the owner away before it
 	// yields to a host that the store serves: relayed writes take longer, and some
 	// are lost.
 	cutOffAfter = 400 * time.Millisecond
+	// servedFor is how long the store must have served the owner through others
+	// by then. Right after an outage of the whole store hosts find it again one
+	// after the other, within the time between two tries of the direct way.
+	servedFor = 700 * time.Millisecond
 )
 
 // yield hands the cell over to a host that serves it better: one with clearly
@@ -41,8 +42,10 @@
 			if len(list) == 0 || h.cutOff[list[0].Instance] {
 				return
 			}
-			better = h.relay.Lost() >= cutOffAfter && time.Since(begun) >= yieldLeast ||
-				time.Since(begun) >= yieldAfter && list[0].Power >= yieldRatio*h.Power
+			turnedAway := h.relay.Lost() >= cutOffAfter && time.Since(h.store.LastBad()) >= servedFor
+			stronger := list[0].Power >= yieldRatio*h.Power
+			weaker := h.Power >= yieldRatio*list[0].Power
+			better = turnedAway && !weaker || stronger && time.Since(begun) >= yieldAfter
 		})
 		if err == nil && better {
 			h.handOverOnce(ctx)
