feat: configurations travel as changes, and calls ask before they act on an old one

Cause: each host read the whole value for each change and the owner read it every 300 ms (code). With 1,150 queues it has some 345 KB, half a megabyte on the wire: 0.4 s on a link of 10 Mbit/s, which was the timeout of a call to the store. The age of what the owner vouched for was counted from the end of its read, not from its beginning.

Now: the owner's mark of life is conditional on the configuration's revision, so it finds changes each 200 ms and the value is sent only when it has changed; other hosts get the change with the answer to a heartbeat; without heartbeats a host makes the same conditional look, or asks a peer if the store turns it away. A call by a configuration that was not known to be the newest within half of the stated bound looks first, and changes nothing if it cannot be confirmed. A call to the store times out on silence, not on a long answer.

--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -26,18 +26,19 @@
 	callAdvise   = "advise"
 	callHandOver = "hand-over"
 	callCarry    = "carry"
+	callTables   = "tables"
 )
 
 type beatRequest struct {
 	Member    memberRow
-	StoreLost bool // the store turns the sender away
+	StoreLost bool  // the store turns the sender away
+	Tables    int64 // version of the configuration in force at the sender
 }
 
 type beatReply struct {
 	Instance string
-	Owner    bool  // the answering host owns the cell
-	Version  int64 // of the newest configuration that it has read
-	ReadAge  int64 // milliseconds since it last read the configuration
+	Owner    bool // the answering host owns the cell
+	Tables   tablesReply
 }
 
 type storeReply struct {
@@ -90,16 +91,14 @@
 	peer.Handle(mux, callState, h.onState)
 	peer.Handle(mux, callPending, h.onPending)
 	peer.Handle(mux, callAdvise, h.onAdvise)
+	peer.Handle(mux, callTables, h.onTables)
 	peer.Handle(mux, callHandOver, h.onHandOver)
 	peer.HandleStream(mux, callCarry, h.carry)
 	return mux
 }
 
 func (h *Host) onBeat(ctx context.Context, in *beatRequest) (out *beatReply, err error) {
-	out = &beatReply{Instance: h.instance, ReadAge: time.Since(h.tablesRead()).Milliseconds()}
-	if tables := h.tables.Load(); tables != nil {
-		out.Version = tables.Version
-	}
+	out = &beatReply{Instance: h.instance, Tables: h.tablesFor(in.Tables, inlineUpdate)}
 	err = h.loop.Call(ctx, func() {
 		out.Owner = h.own != nil
 		h.heard[in.Member.Instance] = time.Now()
@@ -113,11 +112,7 @@
 
 // onStore carries out a call to the store for a host that the store turns away.
 func (h *Host) onStore(ctx context.Context, in *kvstore.Request) (out *storeReply, err error) {
-	timeout := directTimeout
-	if in.Watch != nil {
-		timeout += in.Watch.Wait
-	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, relayTimeout(in))
 	defer cancel()
 	resp, callErr := h.DirectStore(callCtx, *in)
 	out = &storeReply{Response: resp}
@@ -133,6 +128,18 @@
 	return out, nil
 }
 
+// relayTimeout bounds one try to relay a call. A long answer crosses two links.
+func relayTimeout(req *kvstore.Request) (timeout time.Duration) {
+	timeout = directTimeout
+	if req.Large {
+		timeout *= 2
+	}
+	if req.Watch != nil {
+		timeout += req.Watch.Wait
+	}
+	return timeout
+}
+
 // relayTries bounds the hosts that are asked to relay one call.
 const relayTries = 2
 
@@ -140,11 +147,7 @@
 func (h *Host) storeThroughPeer(ctx context.Context, req kvstore.Request) (resp kvstore.Response, err error) {
 	err = kvstore.ErrUnreachable
 	for _, address := range h.relayAddresses() {
-		timeout := directTimeout
-		if req.Watch != nil {
-			timeout += req.Watch.Wait
-		}
-		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		callCtx, cancel := context.WithTimeout(ctx, relayTimeout(&req))
 		reply, callErr := peer.Call[kvstore.Request, storeReply](callCtx, h.peers, address, callStore, &req)
 		cancel()
 		switch {
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	for h.tables.Load() == nil && ctx.Err() == nil {
+	for h.Tables() == nil && ctx.Err() == nil {
 		pause(ctx, loadRetry)
 	}
 	stored := h.decodeStored(jobs, progress)
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -208,17 +208,39 @@
 }
 
 // markAlive changes a key of the store now and then, for hosts that cannot
-// reach this one.
+// reach this one. The same write finds out whether the ownership row and the
+// configuration are still those that are known here: the configuration's value
+// comes back only if it has changed.
 func (h *Host) markAlive(ctx context.Context, ownerRev int64) {
 	for ctx.Err() == nil {
-		_, found, err := h.store.Write(ctx, kvstore.Txn{
-			Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}},
+		sent := boot()
+		tables, revision := h.tables.InForce()
+		_, found, err := h.store.WriteLarge(ctx, kvstore.Txn{
+			Expected: []kvstore.Condition{{Key: ownerKey, Revision: ownerRev}, {Key: h.Lists.TablesKey, Revision: revision}},
 			Puts:     []kvstore.Put{{Key: beatKey, Value: []byte(h.instance)}},
 		})
-		if errs.Is(err, kvstore.ErrConflict) && len(found) > 0 && found[0].Revision != ownerRev {
-			h.post(func() { h.release("the ownership row has changed") })
-			return
+		switch {
+		case err == nil:
+			h.tables.Confirm(tables.Version, sent)
+		case errs.Is(err, kvstore.ErrConflict):
+			if revisionOf(found, ownerKey, ownerRev) != ownerRev {
+				h.post(func() { h.release("the ownership row has changed") })
+				return
+			}
+			if h.takeItems(found, sent) {
+				continue // the mark was not written
+			}
 		}
 		pause(ctx, ownerBeatPeriod)
 	}
 }
+
+// revisionOf returns the revision of a key among items, or none if it is not there.
+func revisionOf(items []kvstore.Item, key string, none int64) int64 {
+	for i := range items {
+		if items[i].Key == key {
+			return items[i].Revision
+		}
+	}
+	return none
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -31,6 +31,7 @@
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/tablefeed"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -65,6 +66,9 @@
 	Targets     Targets
 	Lists       Lists
 	Listen      func(address string) (net.Listener, error)
+	// TablesBound is the age of the configuration in force from which calls wait
+	// for a newer look at it.
+	TablesBound time.Duration
 	// DirectWorkers is how many workers an owner calls by itself; with more, it
 	// has other hosts make the calls.
 	DirectWorkers int
@@ -74,10 +78,7 @@
 	peers    *peer.Client
 	relay    *kvstore.Relay
 	store    *kvstore.Client
-	tables   atomic.Pointer[work.Tables]
-	read     atomic.Int64 // when the configuration was last read, Unix nanoseconds
-	vouched  atomic.Int64 // when the owner last read the version in force here, Unix nanoseconds
-	fresh    atomic.Int64 // until when the owner vouches that it has not changed
+	tables   *tablefeed.Feed
 	ready    atomic.Bool
 	stopping atomic.Bool
 	group    sync.WaitGroup
@@ -88,6 +89,9 @@
 	adviser  adviser
 	workers  *carrier.Server
 
+	refreshMu  sync.Mutex
+	refreshing chan struct{} // closed when the look at the configuration under way has ended
+
 	relayLast atomic.Pointer[string] // address of the host that relayed a call last
 	stats     *Stats
 
@@ -131,6 +135,8 @@
 		instance: hex.EncodeToString(suffix),
 
 		DirectWorkers: directWorkers,
+		TablesBound:   tablesBound,
+		tables:        tablefeed.New(),
 		loop:          control.New(),
 		peers:         peer.NewClient(),
 		members:       map[string]memberRow{},
@@ -168,6 +174,9 @@
 	directTimeout = 400 * time.Millisecond
 	// storeTimeout bounds a call with its second way.
 	storeTimeout = 900 * time.Millisecond
+	// largeTimeout bounds a call with a long answer: half a megabyte takes 0.4 s
+	// on the slowest links, and they are shared.
+	largeTimeout = 2500 * time.Millisecond
 	// storeDownAfter is how long no call may be answered until the store counts
 	// as away.
 	storeDownAfter = 800 * time.Millisecond
@@ -179,10 +188,10 @@
 func (h *Host) Run(ctx context.Context) (err error) {
 	defer Error.WrapP(&err)
 	h.relay = &kvstore.Relay{
-		Direct: h.DirectStore, Through: h.storeThroughPeer, DirectTimeout: directTimeout, Changed: h.directChanged,
-		ProbeKey: ownerKey,
+		Direct: h.DirectStore, Through: h.storeThroughPeer, DirectTimeout: directTimeout, LargeTimeout: largeTimeout,
+		Changed: h.directChanged, ProbeKey: ownerKey,
 	}
-	h.store = &kvstore.Client{Do: h.observeStore(h.relay.Do), Timeout: storeTimeout}
+	h.store = &kvstore.Client{Do: h.observeStore(h.relay.Do), Timeout: storeTimeout, LargeTimeout: largeTimeout}
 	h.adviser.busy, h.adviser.rest = map[string]time.Duration{}, map[string]time.Time{}
 	h.workers = &carrier.Server{Targets: h.observeWorkers(h.Targets.Targets), Spawn: h.spawn, Leaving: h.stopping.Load}
 	listener, err := h.Listen(h.PeerAddress)
@@ -223,9 +232,6 @@
 // Stopping reports whether a planned stop has begun.
 func (h *Host) Stopping() bool { return h.stopping.Load() }
 
-// Tables returns the configuration in force, nil before the first was read.
-func (h *Host) Tables() *work.Tables { return h.tables.Load() }
-
 func (h *Host) spawn(fn func()) {
 	h.group.Add(1)
 	go func() {
@@ -294,93 +300,6 @@
 	}
 }
 
-// tablesPeriod is the time between two reads of the configuration. A watch can
-// be silent, so the version is polled; it has to be in force within two seconds.
-// While the owner's heartbeats vouch for the version, only the owner reads.
-const tablesPeriod = 300 * time.Millisecond
-
-const (
-	// vouchedAge is the age up to which what the owner has read is vouched for.
-	vouchedAge = 600 * time.Millisecond
-	// vouchedMargin is added to the time between two heartbeats: until then the
-	// answer to one vouches for the version in force.
-	vouchedMargin = 400 * time.Millisecond
-)
-
-// tablesRead returns when this host last read the configuration.
-func (h *Host) tablesRead() time.Time { return time.Unix(0, h.read.Load()) }
-
-// tablesConfirmed returns when the configuration in force was last known to be
-// the newest: read here, or vouched for by the owner.
-func (h *Host) tablesConfirmed() time.Time {
-	read, vouched := h.tablesRead(), time.Unix(0, h.vouched.Load())
-	if vouched.After(read) {
-		return vouched
-	}
-	return read
-}
-
-// vouch takes in the version that the owner has read a moment ago.
-func (h *Host) vouch(reply *beatReply) {
-	tables := h.tables.Load()
-	if tables == nil || reply.Version != tables.Version || reply.ReadAge > vouchedAge.Milliseconds() {
-		return
-	}
-	h.vouched.Store(time.Now().Add(-time.Duration(reply.ReadAge) * time.Millisecond).UnixNano())
-	h.fresh.Store(time.Now().Add(h.beatEvery() + vouchedMargin).UnixNano())
-}
-
-// tablesOld is the age of the last read from which it is logged as stale.
-const tablesOld = 2 * time.Second
-
-// followTables keeps the configuration in force up to date. It never goes back
-// to an older version.
-func (h *Host) followTables(ctx context.Context) {
-	last := time.Now()
-	stale := false
-	for ctx.Err() == nil {
-		if time.Now().UnixNano() < h.fresh.Load() {
-			last = time.Now()
-			pause(ctx, tablesPeriod/4)
-			continue
-		}
-		item, err := h.store.Get(ctx, h.Lists.TablesKey)
-		switch {
-		case err == nil && item.Revision > 0:
-			h.applyTables(item.Value)
-			last = time.Now()
-			h.read.Store(last.UnixNano())
-			if stale {
-				stale = false
-				event.TablesFresh.Log(h.Log).Send()
-			}
-		case !stale && time.Since(last) > tablesOld:
-			stale = true
-			event.TablesStale.Log(h.Log).Dur("age", time.Since(last)).Err(err).Send()
-		}
-		pause(ctx, tablesPeriod)
-	}
-}
-
-func (h *Host) applyTables(value []byte) {
-	tables, err := h.Lists.DecodeTables(value)
-	if err != nil {
-		event.ConfigRefused.Log(h.Log).Err(err).Send()
-		return
-	}
-	current := h.tables.Load()
-	if current != nil && tables.Version <= current.Version {
-		return
-	}
-	tables.Index()
-	h.tables.Store(tables)
-	event.ConfigApplied.Log(h.Log).Int64("version", tables.Version).Int("queues", len(tables.Queues)).
-		Int("teams", len(tables.Teams)).Send()
-	if current == nil {
-		h.ready.Store(true)
-	}
-}
-
 // boot reads the clock that leases are checked against.
 func boot() time.Duration { return boottime.Now() }
 
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -255,13 +255,17 @@
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
+		sent := boot()
 		reply, err := peer.Call[beatRequest, beatReply](callCtx, h.peers, v.owner.Address, callBeat, &beatRequest{
-			Member: h.member(), StoreLost: h.relay.Lost() > 0,
+			Member: h.member(), StoreLost: h.relay.Lost() > 0, Tables: h.tablesVersion(),
 		})
 		cancel()
 		gone := err != nil && refusedConnection(err) || err == nil && reply.Instance != v.owner.Instance
 		if err == nil && !gone && reply.Owner {
-			h.vouch(reply)
+			h.vouch("owner", &reply.Tables, sent)
+			if !reply.Tables.Whole && reply.Tables.Version > h.tablesVersion() {
+				h.refreshOnce() // too large for the answer
+			}
 			h.loop.Post(func() { h.suspect = suspicion{} })
 			continue
 		}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app"
@@ -28,12 +27,12 @@
 // writeTables writes which configuration is in force, and how long ago it was
 // known to be the newest.
 func (h *Host) writeTables(page *bytes.Buffer) {
-	tables := h.tables.Load()
+	tables := h.Tables()
 	if tables == nil {
 		return
 	}
 	fmt.Fprintf(page, "turmericspread_config_version %d\n", tables.Version)
-	fmt.Fprintf(page, "turmericspread_config_age_seconds %.3f\n", time.Since(h.tablesConfirmed()).Seconds())
+	fmt.Fprintf(page, "turmericspread_config_age_seconds %.3f\n", h.TablesAge().Seconds())
 }
 
 // writeOwner writes the figures of the cell's owner, if this host is it.
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -48,7 +48,7 @@
 		switch {
 		case err == nil:
 			event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
-				Dur("took", wall()-job.Accepted).Send()
+				Dur("took", wall()-job.Accepted).Int64("config", h.tablesVersion()).Dur("config-age", h.TablesAge()).Send()
 			h.tellOwner(job.ID, callJob, &jobRequest{Job: value}, func() bool { return h.acceptHere(job) })
 			return nil
 		case errs.Is(err, kvstore.ErrConflict):
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -91,12 +91,15 @@
 	Removed bool
 }
 
-// Request is one call: exactly one of the fields is set.
+// Request is one call: exactly one of the fields is set, besides Large.
 type Request struct {
 	Get   string
 	Range *Range
 	Txn   *Txn
 	Watch *Watch
+	// Large means that the answer may be long: once it has begun, it has more
+	// time to arrive.
+	Large bool
 }
 
 // Watch asks for the changes after a revision and waits for the first.
@@ -127,6 +130,8 @@
 	Do func(ctx context.Context, req Request) (Response, error)
 	// Timeout bounds one call; 0: the context alone.
 	Timeout time.Duration
+	// LargeTimeout replaces it for calls with a long answer.
+	LargeTimeout time.Duration
 
 	lastGood atomic.Int64
 	lastBad  atomic.Int64
@@ -142,7 +147,11 @@
 func (c *Client) Up() bool { return c.lastGood.Load() >= c.lastBad.Load() }
 
 func (c *Client) call(ctx context.Context, req Request) (resp Response, err error) {
-	if timeout := c.Timeout; timeout > 0 {
+	timeout := c.Timeout
+	if req.Large {
+		timeout = max(timeout, c.LargeTimeout)
+	}
+	if timeout > 0 {
 		if req.Watch != nil {
 			timeout += req.Watch.Wait
 		}
@@ -165,7 +174,18 @@
 // Get returns the item of a key; its Revision is 0 if the key does not exist.
 func (c *Client) Get(ctx context.Context, key string) (item Item, err error) {
 	defer Error.WrapP(&err)
-	resp, err := c.call(ctx, Request{Get: key})
+	return c.get(ctx, Request{Get: key})
+}
+
+// GetLarge is Get for a key whose value may be large.
+func (c *Client) GetLarge(ctx context.Context, key string) (item Item, err error) {
+	defer Error.WrapP(&err)
+	return c.get(ctx, Request{Get: key, Large: true})
+}
+
+func (c *Client) get(ctx context.Context, req Request) (item Item, err error) {
+	key := req.Get
+	resp, err := c.call(ctx, req)
 	if err != nil {
 		return Item{}, err
 	}
@@ -192,7 +212,7 @@
 func (c *Client) list(ctx context.Context, page Range) (items []Item, revision int64, err error) {
 	for {
 		request := page
-		resp, err := c.call(ctx, Request{Range: &request})
+		resp, err := c.call(ctx, Request{Range: &request, Large: !page.Stale})
 		if err != nil {
 			return nil, 0, err
 		}
@@ -222,7 +242,17 @@
 // conditions.
 func (c *Client) Write(ctx context.Context, txn Txn) (revision int64, found []Item, err error) {
 	defer Error.WrapP(&err)
-	resp, err := c.call(ctx, Request{Txn: &txn})
+	return c.write(ctx, Request{Txn: &txn})
+}
+
+// WriteLarge is Write for a txn whose conditions name a large item.
+func (c *Client) WriteLarge(ctx context.Context, txn Txn) (revision int64, found []Item, err error) {
+	defer Error.WrapP(&err)
+	return c.write(ctx, Request{Txn: &txn, Large: true})
+}
+
+func (c *Client) write(ctx context.Context, req Request) (revision int64, found []Item, err error) {
+	resp, err := c.call(ctx, req)
 	if err != nil {
 		return 0, nil, err
 	}
--- a/internal/kvstore/relay.go
+++ b/internal/kvstore/relay.go
@@ -18,6 +18,8 @@
 	Through func(ctx context.Context, req Request) (Response, error)
 	// DirectTimeout bounds the direct try.
 	DirectTimeout time.Duration
+	// LargeTimeout replaces it for calls with a long answer; 0: DirectTimeout.
+	LargeTimeout time.Duration
 	// ProbeKey is read to find out whether the direct way works again.
 	ProbeKey string
 	// Changed is told when the direct way is lost or regained.
@@ -87,6 +89,9 @@
 
 func (r *Relay) direct(ctx context.Context, req Request) (resp Response, err error) {
 	timeout := r.DirectTimeout
+	if req.Large {
+		timeout = max(timeout, r.LargeTimeout)
+	}
 	if req.Watch != nil {
 		timeout += req.Watch.Wait
 	}
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -30,6 +30,12 @@
 	Stop      time.Duration // longest time that a stopped run takes
 	Retention time.Duration // how long an ended job can be asked for
 	FarFactor float64       // slow-down of work away from its data
+	// ConfigApply is the time from the acknowledgement of a configuration until
+	// it is in force everywhere.
+	ConfigApply time.Duration
+	// RevokeFailClosed has calls refused while it cannot be told whether their
+	// key was withdrawn, also those that change nothing.
+	RevokeFailClosed bool
 }
 
 // LoadHost reads the settings of an entry host with fenced workers.
@@ -75,10 +81,13 @@
 func decodeHostBounds(bounds *inifile.Section) HostBounds {
 	const mostFactor = 1000
 	return HostBounds{
-		Grace:     bounds.Duration("grace", 6*time.Second),
-		MaxHold:   bounds.Duration("max-hold", 6*time.Second),
-		Stop:      bounds.Duration("stop", time.Second),
-		Retention: bounds.Duration("retention", 2*time.Minute),
-		FarFactor: bounds.Float("far-factor", 1, 1, mostFactor),
+		Grace:       bounds.Duration("grace", 6*time.Second),
+		MaxHold:     bounds.Duration("max-hold", 6*time.Second),
+		Stop:        bounds.Duration("stop", time.Second),
+		Retention:   bounds.Duration("retention", 2*time.Minute),
+		FarFactor:   bounds.Float("far-factor", 1, 1, mostFactor),
+		ConfigApply: bounds.Duration("config-apply", 2*time.Second),
+
+		RevokeFailClosed: bounds.Bool("revoke-fail-closed", false),
 	}
 }
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -23,6 +23,8 @@
 [bounds]
 max-hold = 6000ms
 far-factor = 1.5
+config-apply = 3s
+revoke-fail-closed = true
 `
 
 func TestParseHost(t *testing.T) {
@@ -32,10 +34,13 @@
 	assert.Equal(t, len(set.Seeds), 2)
 	assert.Equal(t, set.Bounds.MaxHold, 6*time.Second)
 	assert.Equal(t, set.Bounds.Grace, 6*time.Second, "the default")
+	assert.Equal(t, set.Bounds.ConfigApply, 3*time.Second)
+	assert.Assert(t, set.Bounds.RevokeFailClosed)
 	for _, tc := range []struct{ name, extra, names string }{
 		{"an unknown key", "odd = 1\n", "odd"},
 		{"an unknown section", "[odd]\na = 1\n", "odd"},
 		{"a duration without a unit", "stop = 900\n", "stop"},
+		{"neither true nor false", "[log]\n[bounds]\nrevoke-fail-closed = maybe\n", "revoke-fail-closed"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			_, err := ParseHost("host.ini", []byte(hostFile+tc.extra))
