--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
+	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -28,3 +31,33 @@
 		})
 	}
 }
+
+// TestPassOverBacklogLooksAtFewWorkers has a full cell with a long backlog pass
+// over what fits nowhere, whether or not the adviser has to be asked first.
+func TestPassOverBacklogLooksAtFewWorkers(t *testing.T) {
+	const workers, jobs, passes = 350, 900, 20
+	for _, advised := range []bool{false, true} {
+		t.Run(fmt.Sprintf("advised=%t", advised), func(t *testing.T) {
+			s := newSim(t, 1, workers)
+			if advised {
+				s.tables.Queues[0].Advice = &work.Advice{Decide: 20 * time.Millisecond, Valid: time.Second}
+			}
+			s.claim()
+			// Each worker has four cores; these tasks take all of them and last.
+			fills := work.Step{Count: workers, Want: resource.Vector{MilliCores: 4000, MemoryMB: 500}, Estimate: time.Hour}
+			s.submit("fills", fills)
+			s.run(20 * time.Second)
+			for i := range jobs {
+				s.submit(fmt.Sprintf("j%d", i), tasksOf(6, time.Second))
+			}
+			s.run(s.now + 2*time.Second)
+			before := s.owner.Counters.RoomsLooked
+			for range passes {
+				s.owner.schedule(s.now)
+			}
+			looked := s.owner.Counters.RoomsLooked - before
+			t.Logf("%d workers looked at in %d passes over %d steps", looked, passes, jobs)
+			assert.Assert(t, looked <= passes*workers, "a pass looks at each worker many times")
+		})
+	}
+}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -29,6 +29,8 @@
 	saving   bool
 	retryAt  time.Duration
 	recordAt time.Duration // until when a change has to be recorded
+	waits    waits         // of its steps
+	chain    time.Duration // longest chain of estimated work
 }
 
 // step is a step in one occurrence.
@@ -46,6 +48,10 @@
 	advice     advice
 	startedAt  time.Duration // when the first task was ordered
 	doneAt     time.Duration // time of day at which a task was last done
+	round      int           // of passes over all steps in which it was looked at last
+	remaining  time.Duration // longest chain of estimated work from the step on
+	waiting    Reason        // why it has tasks that do not run
+	waitSince  time.Duration // since when for this reason
 }
 
 type task struct {
@@ -76,11 +82,16 @@
 }
 
 func newJob(spec *work.Job) *job {
-	j := &job{spec: spec}
+	j := &job{spec: spec, chain: chainOf(spec, -1)}
 	for occurrence := range spec.Occurrences() {
 		first := len(j.steps)
 		for i := range spec.Steps {
 			s := &step{job: j, spec: &spec.Steps[i], number: i, occurrence: occurrence}
+			if occurrence == 0 {
+				s.remaining = chainOf(spec, i)
+			} else {
+				s.remaining = j.steps[i].remaining
+			}
 			for _, before := range s.spec.After {
 				s.before = append(s.before, j.steps[first+before])
 			}
@@ -212,9 +223,12 @@
 	j.state = state
 	j.endedAt = o.Wall()
 	o.active = slices.DeleteFunc(o.active, func(other *job) bool { return other == j })
+	for _, s := range j.steps {
+		o.waitFor(s, ReasonNone, o.Now())
+	}
 	o.record(j, recordSoon)
 	event.CellJobEnded.Log(o.Log).Str("job", j.spec.ID).Str("queue", j.spec.Queue).Str("state", string(state)).
-		Dur("age", j.endedAt-j.spec.Accepted).Send()
+		Dur("age", j.endedAt-j.spec.Accepted).Dur("allowed", o.deadline(j, 0)-j.spec.Accepted).Object("waited", &j.waits).Send()
 	o.Ended(j.spec.Queue, state, j.endedAt-j.spec.Accepted)
 }
 
@@ -281,19 +295,26 @@
 
 // scanJobs notices due times, policies that changed and records to be dropped.
 func (o *Owner) scanJobs(now time.Duration) {
-	tables := o.Tables()
+	if tables := o.Tables(); tables != o.policies {
+		o.policies = tables
+		for _, j := range o.active {
+			if q := tables.Queue(j.spec.Queue); q != nil {
+				j.queue = *q
+			}
+		}
+	}
+	o.changed = true
+	if now < o.nextForget {
+		return
+	}
+	o.nextForget = now + forgetPeriod
 	var old []string
 	for _, j := range o.jobs {
-		if q := tables.Queue(j.spec.Queue); q != nil && !j.over() {
-			j.queue = *q
-		}
 		if j.state.Terminal() && j.saved >= j.version && !j.saving && o.Wall()-j.endedAt > o.Bounds.Retention && o.idleJob(j) {
 			old = append(old, j.spec.ID)
 		}
 	}
-	o.changed = true
-	if len(old) > 0 && o.StoreUp() && now >= o.nextForget {
-		o.nextForget = now + forgetPeriod
+	if len(old) > 0 && o.StoreUp() {
 		o.forget(old)
 	}
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -24,6 +24,7 @@
 	missing     time.Duration // since when the list lacks it
 	runs        map[runKey]*run
 	used        resource.Vector
+	promised    resource.Vector // room that questions to the adviser are asked for
 
 	// What is known of the present life of the worker.
 	born      int64
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -90,6 +90,8 @@
 	// run, Ended how old a job was when it was over.
 	Started func(queue string, waited time.Duration)
 	Ended   func(queue string, state work.State, age time.Duration)
+	// Waited is told how long a step waited for one reason.
+	Waited func(queue string, reason Reason, d time.Duration)
 
 	Counters Counters
 
@@ -109,10 +111,14 @@
 	saves      int
 	changed    bool // a scheduling pass is due
 	nextPass   time.Duration
+	nextFlush  time.Duration
+	round      int // of passes until all waiting steps were looked at
 	nextScan   time.Duration
 	nextForget time.Duration
+	policies   *work.Tables          // from which the jobs have their queues
 	advising   map[time.Duration]int // questions under way, by the fixed part of their cost
 	ratios     map[string]*ratio
+	shares     map[string]*ratio // by queue, see goodShare
 	deposed    bool
 }
 
@@ -121,6 +127,7 @@
 	Starts, StartsRefused, StartsUnknown, Stops, Holds, HoldsMissed int64
 	EndsDone, EndsFailed, EndsOther, Lost, Preempted, Copies        int64
 	Saves, SavesFailed, AdviceAsked, AdviceFailed                   int64
+	Passes, RoomsLooked                                             int64 // scheduling passes, and workers looked at
 }
 
 // New returns an Owner without jobs and workers.
@@ -129,12 +136,14 @@
 		Log:      zerolog.Nop(),
 		Started:  func(string, time.Duration) {},
 		Ended:    func(string, work.State, time.Duration) {},
+		Waited:   func(string, Reason, time.Duration) {},
 		jobs:     map[string]*job{},
 		nodes:    map[string]*node{},
 		usage:    map[string]resource.Vector{},
 		rates:    map[string]*sched.Allowance{},
 		dirty:    map[*job]bool{},
 		ratios:   map[string]*ratio{},
+		shares:   map[string]*ratio{},
 		advising: map[time.Duration]int{},
 	}
 }
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -15,6 +15,9 @@
 	saveBatch = 14
 	// saveParallel bounds the writes under way.
 	saveParallel = 6
+	// flushPeriod is the time between two looks for records that are due: a look
+	// goes through all of them, and while the store is away they are many.
+	flushPeriod = 2 * time.Millisecond
 	// saveRetry is the time until a write that failed is tried again.
 	saveRetry = 150 * time.Millisecond
 	// saveBytes bounds the values of one write.
@@ -45,10 +48,11 @@
 
 // flush writes the records of changed jobs, several in one write.
 func (o *Owner) flush() {
-	if o.deposed || len(o.dirty) == 0 {
+	now := o.Now()
+	if o.deposed || len(o.dirty) == 0 || o.saves >= saveParallel || now < o.nextFlush {
 		return
 	}
-	now := o.Now()
+	o.nextFlush = now + flushPeriod
 	var ready []*job
 	due := false
 	for j := range o.dirty {
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -163,6 +163,9 @@
 			o.detach(r)
 		}
 	}
+	if s.waiting == ReasonRecord {
+		o.waitFor(s, s.recorded(), now)
+	}
 }
 
 // breakGang stops the other members of a gang that cannot all be present, so
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -10,10 +10,10 @@
 	"turmericspread.org/turmericspread/internal/work"
 )
 
-// group is the waiting tasks of a step.
+// group is a step with tasks that wait.
 type group struct {
 	step      *step
-	tasks     []*task
+	tasks     []*task // collected only once there may be room
 	rank      sched.Rank
 	slack     time.Duration // left of the allowance, beyond the work to be done
 	allowance time.Duration // from submission to deadline
@@ -24,8 +24,14 @@
 	nodes []*node
 	free  resource.Vector
 	total resource.Vector
+	most  resource.Vector // largest free room of any worker, each resource by itself
 }
 
+// mayFit reports whether some worker may have room for want. It answers a full
+// cell with a long backlog: what fits nowhere is passed over without a look at
+// each worker.
+func (p *pool) mayFit(want resource.Vector) bool { return p.most.Fits(want) }
+
 // reserved is the share of a pool that work with time to spare leaves free.
 const reserved = 0.12
 
@@ -46,6 +52,7 @@
 		o.unknown = o.unsettledCapacity(now)
 	}
 	o.unknownOf = o.unknownUse()
+	o.Counters.Passes++
 	groups := o.waiting(now)
 	if len(groups) == 0 {
 		return
@@ -53,21 +60,55 @@
 	pools := o.usableNodes(now)
 	for i := range groups {
 		g := &groups[i]
-		p := pools[g.step.job.queue.Service]
-		if p == nil {
+		if i >= passFirst && g.step.round == o.round {
 			continue
 		}
-		if g.step.spec.Gang {
-			o.placeGang(g, p, now)
-		} else {
-			o.placeEach(g, p, now)
+		g.step.round = o.round
+		o.waitFor(g.step, o.place(g, pools[g.step.job.queue.Service], now), now)
+		if i%passCheck == 0 && o.Now()-now > passMost {
+			o.changed = true // the rest comes with the next passes
+			return
 		}
 	}
+	o.round++
+}
+
+const (
+	// passMost is the time from which a pass is broken off. On a host with one
+	// processor nothing else runs meanwhile: no order goes out and no answer comes
+	// in. A backlog of a thousand steps takes several passes then.
+	passMost = 5 * time.Millisecond
+	// passFirst is how many of the best steps each pass looks at.
+	passFirst = 64
+	// passCheck is how many steps are placed between two looks at the clock.
+	passCheck = 8
+)
+
+// place starts what of the group finds room and returns why the rest waits.
+func (o *Owner) place(g *group, p *pool, now time.Duration) (reason Reason) {
+	s := g.step
+	want := s.tasks[0].want()
+	switch {
+	case p == nil || !p.mayFit(want):
+		return ReasonRoom
+	case !o.withinMaximum(s, 1):
+		return ReasonLimit
+	case !p.admits(g, want):
+		return ReasonReserve
+	}
+	g.collect(now)
+	switch {
+	case len(g.tasks) == 0:
+		return ReasonRetry
+	case s.spec.Gang:
+		return o.placeGang(g, p, now)
+	}
+	return o.placeEach(g, p, now)
 }
 
 // passShare is the largest part of the time that is spent on passes: under a
 // backlog they grow long, and orders and answers must not wait behind them.
-const passShare = 0.2
+const passShare = 0.25
 
 // restAfterPass puts the next pass off according to how long this one took.
 func (o *Owner) restAfterPass(begun time.Duration) {
@@ -133,48 +174,65 @@
 			pools[n.w.Pool] = p
 		}
 		p.nodes = append(p.nodes, n)
-		p.free = p.free.Add(n.free())
+		free := n.free()
+		p.free = p.free.Add(free)
+		p.most = p.most.Max(free)
 		p.total = p.total.Add(n.w.Capacity)
 	}
 	return pools
 }
 
-// admits reports whether the group may take room for count tasks now.
-func (p *pool) admits(g *group, count int) bool {
+// admits reports whether the group may take want of the room now.
+func (p *pool) admits(g *group, want resource.Vector) bool {
 	if g.rank.Priority <= 0 {
 		return true
 	}
-	want := g.tasks[0].want().Scale(int64(count))
 	return sched.Reserve{Share: reserved}.Admits(p.free, p.total, want, g.slack, g.allowance)
 }
 
 // take notes that a task has been given room.
 func (p *pool) take(t *task) { p.free = p.free.Sub(t.want()) }
 
+// collect gathers the tasks that could be started now.
+func (g *group) collect(now time.Duration) {
+	for _, t := range g.step.tasks {
+		if t.waiting(now) {
+			g.tasks = append(g.tasks, t)
+		}
+	}
+}
+
 // waiting lists the steps that have tasks to start, best rank first.
 func (o *Owner) waiting(now time.Duration) (groups []group) {
 	wall := o.Wall()
 	for _, j := range o.active {
-		if j.over() || j.restored && o.unknown != (resource.Vector{}) {
+		if j.over() {
 			o.changed = true
 			continue
 		}
+		takeover := j.restored && o.unknown != (resource.Vector{})
+		o.changed = o.changed || takeover
 		for _, s := range j.steps {
-			if s.done+s.running-s.copies >= len(s.tasks) || !s.open(wall) {
+			switch {
+			case s.done+s.running-s.copies >= len(s.tasks):
+				if s.waiting != ReasonNone {
+					o.waitFor(s, s.recorded(), now)
+				}
+				continue
+			case !s.open(wall):
+				continue
+			case takeover:
+				o.waitFor(s, ReasonTakeover, now)
 				continue
 			}
 			g := group{step: s, rank: o.rank(s)}
-			g.allowance = g.rank.Deadline - max(j.spec.Accepted, j.spec.Due(s.occurrence))
-			g.slack = g.rank.Deadline - wall - o.remaining(s)
-			g.rank.Late = g.slack < 0 && !s.spec.LongRunning
-			for _, t := range s.tasks {
-				if t.waiting(now) {
-					g.tasks = append(g.tasks, t)
-				}
-			}
-			if len(g.tasks) > 0 {
-				groups = append(groups, g)
+			submitted, remaining := max(j.spec.Accepted, j.spec.Due(s.occurrence)), s.remaining
+			g.allowance = g.rank.Deadline - submitted
+			g.slack = g.rank.Deadline - wall - remaining
+			if !s.spec.LongRunning {
+				g.rank = g.rank.Judge(submitted, wall, remaining)
 			}
+			groups = append(groups, g)
 		}
 	}
 	slices.SortStableFunc(groups, func(a, b group) int { return sched.Compare(a.rank, b.rank) })
@@ -183,11 +241,11 @@
 
 func (o *Owner) rank(s *step) sched.Rank {
 	j := s.job
-	begin := max(j.spec.Accepted, j.spec.Due(s.occurrence))
 	rank := sched.Rank{
 		Priority: j.queue.Priority,
+		Begun:    j.begun && j.spec.Times == 0,
 		Excess:   j.excess,
-		Deadline: begin + j.queue.Target + time.Duration(float64(o.chain(j))*max(j.queue.Stretch, 1)),
+		Deadline: o.deadline(j, s.occurrence),
 	}
 	if s.spec.LongRunning {
 		rank.Priority = servingPriority
@@ -195,31 +253,22 @@
 	return rank
 }
 
-// chain returns the longest chain of estimated work through the steps of a job.
-func (o *Owner) chain(j *job) (longest time.Duration) {
-	ends := make([]time.Duration, len(j.spec.Steps))
-	for i := range j.spec.Steps {
-		s := &j.spec.Steps[i]
-		var begin time.Duration
-		for _, before := range s.After {
-			begin = max(begin, ends[before])
-		}
-		ends[i] = begin + s.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
+// deadline returns the time of day by which an occurrence of a job should have ended.
+func (o *Owner) deadline(j *job, occurrence int) time.Duration {
+	begin := max(j.spec.Accepted, j.spec.Due(occurrence))
+	return begin + j.queue.Target + time.Duration(float64(j.chain)*max(j.queue.Stretch, 1))
 }
 
-// remaining returns the longest chain of estimated work from a step on.
-func (o *Owner) remaining(s *step) (longest time.Duration) {
-	spec := s.job.spec
+// chainOf returns the longest chain of estimated work through the steps of a
+// job that begins with the step first, or with any step if first is negative.
+func chainOf(spec *work.Job, first int) (longest time.Duration) {
 	ends := make([]time.Duration, len(spec.Steps))
-	for i := s.number; i < len(spec.Steps); i++ {
+	for i := max(first, 0); i < len(spec.Steps); i++ {
 		var begin time.Duration
 		for _, before := range spec.Steps[i].After {
 			begin = max(begin, ends[before])
 		}
-		if i > s.number && begin == 0 {
+		if first >= 0 && i > first && begin == 0 {
 			continue // does not depend on the step
 		}
 		ends[i] = begin + spec.Steps[i].Estimate
@@ -234,6 +283,7 @@
 		// Only the few workers with a ticket are looked at.
 		nodes = o.ticketHolders(s, now)
 	}
+	o.Counters.RoomsLooked += int64(len(nodes))
 	for _, n := range nodes {
 		if !o.mayRun(s, n) {
 			continue
@@ -247,6 +297,9 @@
 
 // ticketHolders returns the usable workers that have a ticket for the step.
 func (o *Owner) ticketHolders(s *step, now time.Duration) (nodes []*node) {
+	if now >= s.advice.until {
+		return nil // all tickets have run out
+	}
 	for _, id := range s.advice.holders {
 		n := o.nodes[id]
 		if n != nil && n.usable(now) && n.w.Pool == s.job.queue.Service && s.advice.permits(n, now) {
@@ -292,14 +345,18 @@
 	return s.spec.MaxPerWorker - here
 }
 
-// placeEach starts as many tasks of the group as find room.
-func (o *Owner) placeEach(g *group, p *pool, now time.Duration) {
+// placeEach starts as many tasks of the group as find room, and returns why the
+// others wait.
+func (o *Owner) placeEach(g *group, p *pool, now time.Duration) (reason Reason) {
 	s := g.step
 	rooms, usable := o.rooms(s, p.nodes, now)
 	placed := 0
 	for _, t := range g.tasks {
-		if !o.withinMaximum(s, 1) || !p.admits(g, 1) {
-			return
+		switch {
+		case !o.withinMaximum(s, 1):
+			return ReasonLimit
+		case !p.admits(g, t.want()):
+			return ReasonReserve
 		}
 		i := o.choose(rooms, usable, t)
 		if i < 0 {
@@ -311,9 +368,13 @@
 		p.take(t)
 		placed++
 	}
-	if placed < len(g.tasks) && s.job.queue.Advice != nil {
-		o.askAdvice(s, p.nodes, len(g.tasks)-placed, now)
+	switch {
+	case placed == len(g.tasks):
+		return ReasonRecord
+	case s.job.queue.Advice != nil:
+		return o.askAdvice(s, p.nodes, len(g.tasks)-placed, now)
 	}
+	return ReasonRoom
 }
 
 // want returns what the task takes of a worker's capacity.
@@ -353,19 +414,25 @@
 		!over(used.Accelerators, team.Maximum.Accelerators)
 }
 
-// placeGang starts all tasks of a gang with one run number, or none.
-func (o *Owner) placeGang(g *group, p *pool, now time.Duration) {
+// placeGang starts all tasks of a gang with one run number, or none, and
+// returns why they wait.
+func (o *Owner) placeGang(g *group, p *pool, now time.Duration) (reason Reason) {
 	s := g.step
-	if len(g.tasks) < len(s.tasks)-s.done || !o.withinMaximum(s, len(g.tasks)) || !p.admits(g, len(g.tasks)) {
-		return
+	switch {
+	case len(g.tasks) < len(s.tasks)-s.done:
+		return ReasonRetry
+	case !o.withinMaximum(s, len(g.tasks)):
+		return ReasonLimit
+	case !p.admits(g, g.tasks[0].want().Scale(int64(len(g.tasks)))):
+		return ReasonReserve
 	}
 	rooms, usable := o.rooms(s, p.nodes, now)
 	picks := sched.ChooseAll(rooms, g.tasks[0].want(), len(g.tasks), sched.Spread{SameRack: s.spec.RackSensitive})
 	if picks == nil {
 		if s.job.queue.Advice != nil {
-			o.askAdvice(s, p.nodes, len(g.tasks), now)
+			return o.askAdvice(s, p.nodes, len(g.tasks), now)
 		}
-		return
+		return ReasonRoom
 	}
 	var number int64
 	for _, t := range g.tasks {
@@ -375,6 +442,7 @@
 		o.plan(t, usable[picks[i]], number, s.advice.ticket(usable[picks[i]]))
 		p.take(t)
 	}
+	return ReasonRecord
 }
 
 // evacuate stops, on workers that are about to leave, what has to go on elsewhere.
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -36,6 +36,7 @@
 	listStuck bool          // the list of workers is not read
 	replaced  int           // workers that are gone for good
 	fresh     bool          // owners are processes that have just started
+	processor processor     // of the owners
 	// loseAnswer and delayOrder are the chances of these faults for one order.
 	loseAnswer, delayOrder float64
 }
@@ -92,7 +93,8 @@
 	rev    int64 // of the ownership row
 	frozen bool
 	dead   bool
-	held   []func() // callbacks that arrived while it was frozen
+	held   []func()      // callbacks that arrived while it was frozen
+	busy   time.Duration // until when its processor works; see processor
 }
 
 const simLatency = time.Millisecond
@@ -263,15 +265,31 @@
 	o.sim.at(400*time.Millisecond, o.relist)
 }
 
-// call runs fn on the owner now, or when it wakes.
+// processor is what an owner's work costs of the time of its only processor.
+type processor struct {
+	look time.Duration // at one worker, for one step
+	call time.Duration // to a worker
+}
+
+// spent returns the processor time of the work that the owner's counters tell of.
+func (o *simOwner) spent() time.Duration {
+	c, p := &o.Counters, &o.sim.processor
+	return time.Duration(c.RoomsLooked)*p.look + time.Duration(c.Starts+c.Holds+c.Stops)*p.call
+}
+
+// call runs fn on the owner now, or when it wakes or has time.
 func (o *simOwner) call(fn func()) {
 	switch {
 	case o.dead:
 	case o.frozen:
 		o.held = append(o.held, fn)
+	case o.busy > o.sim.now:
+		o.sim.at(o.busy-o.sim.now, func() { o.call(fn) })
 	default:
+		before := o.spent()
 		fn()
 		o.Tick()
+		o.busy = o.sim.now + o.spent() - before
 	}
 }
 
--- /dev/null
+++ b/internal/cell/wait.go
@@ -0,0 +1,69 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Reason is why a step waits although it could run.
+type Reason int
+
+// The reasons, from the first that a step meets to the last.
+const (
+	ReasonNone      Reason = iota
+	ReasonTakeover         // a former owner may have started it
+	ReasonRetry            // its tasks failed, or were refused, a moment ago
+	ReasonLimit            // the team may not run more
+	ReasonReserve          // room is kept for more urgent work
+	ReasonRoom             // no worker that may run it has room
+	ReasonAdviser          // the adviser has other questions to answer first
+	ReasonAdvice           // the adviser was asked which workers may run it
+	ReasonRecord           // the decision to start it is being recorded
+	numberOfReasons = int(ReasonRecord) + 1
+)
+
+// String returns the name of the reason in logs and metrics.
+func (r Reason) String() string {
+	names := [numberOfReasons]string{
+		"none", "takeover", "retry", "limit", "reserve", "room", "adviser", "advice", "record",
+	}
+	return names[r]
+}
+
+// waits sums how long the steps of a job waited, by reason.
+type waits [numberOfReasons]time.Duration
+
+// MarshalZerologObject writes the reasons that a step waited for, in milliseconds.
+func (w *waits) MarshalZerologObject(e *zerolog.Event) {
+	for i, d := range w {
+		if d >= time.Millisecond {
+			e.Dur(Reason(i).String(), d)
+		}
+	}
+}
+
+// waitFor notes that the step waits for another reason from now on.
+func (o *Owner) waitFor(s *step, reason Reason, now time.Duration) {
+	if s.waiting == reason {
+		return
+	}
+	if s.waiting != ReasonNone {
+		d := now - s.waitSince
+		s.job.waits[s.waiting] += d
+		o.Waited(s.job.spec.Queue, s.waiting, d)
+	}
+	s.waiting, s.waitSince = reason, now
+}
+
+// recorded returns the reason of a step all of whose tasks have been given room.
+func (s *step) recorded() Reason {
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			if r.state == runPlanned {
+				return ReasonRecord
+			}
+		}
+	}
+	return ReasonNone
+}
--- a/internal/host/observe.go
+++ b/internal/host/observe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"turmericspread.org/turmericspread/internal/carrier"
+	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/work"
 )
@@ -107,3 +108,8 @@
 func (h *Host) observeJob(queue string, state work.State, age time.Duration) {
 	h.stats.observe(fmt.Sprintf(`job_seconds{queue=%q,state=%q}`, queue, state), waitBuckets, age)
 }
+
+// observeWait adds the time that a step waited for one reason to the metrics.
+func (h *Host) observeWait(queue string, reason cell.Reason, d time.Duration) {
+	h.stats.observe(fmt.Sprintf(`step_wait_seconds{queue=%q,reason=%q}`, queue, reason), waitBuckets, d)
+}
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -33,7 +33,7 @@
 			h.release(reason)
 		}
 	}
-	o.Started, o.Ended = h.observeStart, h.observeJob
+	o.Started, o.Ended, o.Waited = h.observeStart, h.observeJob, h.observeWait
 	h.connectWorkers(ctx, o)
 	o.Advise = func(order work.AdviceOrder, cost time.Duration, done func(work.AdviceReport, error)) {
 		addresses := h.adviserHosts()
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -20,29 +20,55 @@
 
 // Rank orders work that waits for room.
 type Rank struct {
-	Late     bool          // the deadline can no longer be met
+	Hopeless bool          // nobody waits for the result any more
+	Late     bool          // not begun, and the deadline can no longer be met
 	Priority int           // of the queue; 0 comes first
+	Begun    bool          // something of the job has run
 	Excess   bool          // beyond the rate that the team's weight entitles it to
 	Deadline time.Duration // by which the work should have ended
 }
 
-// Compare orders what can still meet its deadline before what cannot, then by
-// priority, then entitled work before excess, then by deadline. It answers two
-// loads: a flood from one team, where the others' work goes first, and a burst
-// beyond the capacity, where plain deadline order would make all work late.
+// Compare orders work by priority, then what is begun before what is not, then
+// entitled work before excess, then by deadline. What cannot meet its deadline
+// any more and is not begun goes after all of that, and what nobody waits for
+// after everything. It answers four loads: a flood from one team, where the
+// others' work goes first; a burst beyond the capacity, where plain deadline
+// order would make all work late; jobs of several steps in a full cell, which
+// would be begun and left half done behind later ones, so that the capacity is
+// spent and nothing ends; and the time after an overload, where work that is
+// of no use any more would keep new work late.
 func Compare(a, b Rank) int {
+	if c := compareBool(a.Hopeless, b.Hopeless); c != 0 {
+		return c
+	}
 	if c := compareBool(a.Late, b.Late); c != 0 {
 		return c
 	}
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
+	if c := compareBool(b.Begun, a.Begun); c != 0 {
+		return c
+	}
 	if c := compareBool(a.Excess, b.Excess); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.Deadline, b.Deadline)
 }
 
+// uselessAfter is how many times its allowance a job may take until its result
+// is of no use to its caller.
+const uselessAfter = 3
+
+// Judge completes a rank at the time now: the work began to count at submitted,
+// and is estimated to take remaining from now on. Work that lasts has no end
+// and is never late.
+func (r Rank) Judge(submitted, now, remaining time.Duration) Rank {
+	r.Hopeless = now+remaining > submitted+uselessAfter*(r.Deadline-submitted)
+	r.Late = !r.Begun && now+remaining > r.Deadline
+	return r
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -21,7 +21,10 @@
 		{"a higher priority goes first", Rank{Priority: 0, Deadline: 9}, Rank{Priority: 1, Deadline: 1}},
 		{"within a priority the entitled go first", Rank{Deadline: 9}, Rank{Excess: true, Deadline: 1}},
 		{"then the earlier deadline", Rank{Deadline: 1}, Rank{Deadline: 2}},
-		{"what is late goes last", Rank{Priority: 2, Excess: true, Deadline: 9}, Rank{Late: true}},
+		{"what is late and not begun goes after the rest", Rank{Priority: 2, Excess: true, Deadline: 9}, Rank{Late: true}},
+		{"what is begun goes first", Rank{Begun: true, Excess: true, Deadline: 9}, Rank{Deadline: 1}},
+		{"within its priority", Rank{Deadline: 9}, Rank{Priority: 1, Begun: true}},
+		{"what nobody waits for goes last", Rank{Late: true, Priority: 2}, Rank{Hopeless: true, Begun: true}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			assert.Assert(t, Compare(tc.first, tc.second) < 0)
@@ -216,3 +219,108 @@
 	assert.Assert(t, replay(jobs, 10, Compare) >= replay(entitled, 10, Compare))
 	assert.Assert(t, len(entitled) > others, "the flooding team keeps its own rate")
 }
+
+// chained is a job of steps that wait for each other.
+type chained struct {
+	arrives, deadline time.Duration
+	takes             time.Duration // each task
+	priority          int
+	steps, wide       int
+	left              int // tasks of the present step that wait
+	running           int
+	begun             bool
+	ended             time.Duration
+}
+
+// replayChained serves jobs of several steps on a number of servers.
+func replayChained(jobs []*chained, servers int, until time.Duration, begunFirst bool) {
+	const step = 10 * time.Millisecond
+	rng := rand.New(rand.NewPCG(1, 3)) // tasks take another time than estimated
+	type busy struct {
+		job  *chained
+		ends time.Duration
+	}
+	var running []busy
+	for now := time.Duration(0); now < until; now += step {
+		running = slices.DeleteFunc(running, func(b busy) bool {
+			if b.ends > now {
+				return false
+			}
+			j := b.job
+			if j.running--; j.running == 0 && j.left == 0 {
+				if j.steps--; j.steps > 0 {
+					j.left = j.wide
+				} else {
+					j.ended = now
+				}
+			}
+			return true
+		})
+		var waiting []*chained
+		for _, j := range jobs {
+			if j.arrives <= now && j.left > 0 {
+				waiting = append(waiting, j)
+			}
+		}
+		rank := func(j *chained) Rank {
+			r := Rank{Priority: j.priority, Begun: begunFirst && j.begun, Deadline: j.deadline}
+			return r.Judge(j.arrives, now, time.Duration(j.steps)*j.takes)
+		}
+		slices.SortStableFunc(waiting, func(a, b *chained) int { return Compare(rank(a), rank(b)) })
+		for _, j := range waiting {
+			for j.left > 0 && len(running) < servers {
+				j.left--
+				j.running++
+				j.begun = true
+				running = append(running, busy{j, now + time.Duration(float64(j.takes)*(0.6+0.9*rng.Float64()))})
+			}
+		}
+	}
+}
+
+// TestBegunWorkIsFinished replays urgent jobs of two steps in a cell that work of
+// a lower priority fills: where what is late goes behind everything, the second
+// steps of late jobs are left until the load ends.
+func TestBegunWorkIsFinished(t *testing.T) {
+	const servers, takes, ends = 40, 600 * time.Millisecond, 14 * time.Second
+	load := func(seed uint64) (jobs []*chained) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		for now := time.Duration(0); now < ends; now += 20 * time.Millisecond {
+			chance := 0.05 // two and a half jobs a second; the servers do four
+			if now > 3*time.Second && now < 6*time.Second {
+				chance = 0.16
+			}
+			if rng.Float64() < chance {
+				jobs = append(jobs, &chained{
+					arrives: now, deadline: now + 2*takes*3/2 + 250*time.Millisecond, takes: takes, steps: 2, wide: 8, left: 8,
+				})
+			}
+			if rng.Float64() < 0.02 {
+				jobs = append(jobs, &chained{
+					arrives: now, deadline: now + time.Minute, takes: 3 * time.Second, priority: 2, steps: 1, wide: 16, left: 16,
+				})
+			}
+		}
+		return jobs
+	}
+	ofUse := func(begunFirst bool) (n, total int) {
+		for seed := range uint64(10) {
+			jobs := load(seed)
+			replayChained(jobs, servers, ends, begunFirst)
+			for _, j := range jobs {
+				if j.priority > 0 || j.arrives > ends-4*time.Second {
+					continue
+				}
+				total++
+				if j.ended > 0 && j.ended <= j.arrives+uselessAfter*(j.deadline-j.arrives) {
+					n++
+				}
+			}
+		}
+		return n, total
+	}
+	first, total := ofUse(true)
+	last, _ := ofUse(false)
+	t.Logf("of %d urgent jobs of use to their callers: begun work first %d, late work last %d", total, first, last)
+	assert.Assert(t, first > last+total/20)
+}
