--- a/internal/host/carry.go
+++ b/internal/host/carry.go
@@ -18,10 +18,10 @@
 const (
 	// directWorkers is how many workers an owner calls by itself by default.
 	// Beyond, the calls would take more than a third of a small host's processor.
-	directWorkers = 500
+	directWorkers = 120
 	// workersPerCarrier is how many workers one carrier serves: some 300
 	// connections and a tenth of a small host's processor.
-	workersPerCarrier = 250
+	workersPerCarrier = 90
 )
 
 // newCarriers returns the owner's client of the hosts that carry its orders.
