fix: a host that loads the cell counts as its owner; late urgent work keeps its priority

With lists that take 1.8 s the cell gets no owner at all.

Now the claimant marks the store and answers for up to 5 s. TestSuccessorIsLeftToLoad fails before (no owner within 8 s) and passes after.

--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -37,7 +37,7 @@
 
 type beatReply struct {
 	Instance string
-	Owner    bool // the answering host owns the cell
+	Owner    bool // the answering host owns the cell, or is loading it
 	Tables   tablesReply
 }
 
@@ -100,7 +100,7 @@
 func (h *Host) onBeat(ctx context.Context, in *beatRequest) (out *beatReply, err error) {
 	out = &beatReply{Instance: h.instance, Tables: h.tablesFor(in.Tables, inlineUpdate)}
 	err = h.loop.Call(ctx, func() {
-		out.Owner = h.own != nil
+		out.Owner = h.own != nil || h.loading()
 		h.heard[in.Member.Instance] = time.Now()
 		h.cutOff[in.Member.Instance] = in.StoreLost
 		if h.noteMember(in.Member) {
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -49,6 +49,13 @@
 	}
 	event.CellClaimed.Log(h.Log).Int64("epoch", row.Epoch).Str("before", seen.Name).Int64("revision", claimed).Send()
 	begun := time.Now()
+	// With a slow store loading takes longer than the silence for which an owner
+	// is replaced: the others have to see that this host lives.
+	loadCtx, loaded := context.WithTimeout(ctx, loadMost)
+	defer loaded()
+	h.loadingUntil.Store(int64(boot() + loadMost))
+	defer h.loadingUntil.Store(0)
+	h.spawn(func() { h.markAlive(loadCtx, claimed) })
 	for ctx.Err() == nil {
 		err = h.takeOver(ctx, row, claimed)
 		if err == nil {
@@ -64,8 +71,16 @@
 	}
 }
 
-// loadRetry is the pause after a failed try to load the cell.
-const loadRetry = 100 * time.Millisecond
+const (
+	// loadRetry is the pause after a failed try to load the cell.
+	loadRetry = 100 * time.Millisecond
+	// loadMost is how long the new owner of a cell may load it before others
+	// replace it: pages of a slow store take a quarter of a second each.
+	loadMost = 5 * time.Second
+)
+
+// loading reports whether this host has claimed the cell and is loading it.
+func (h *Host) loading() bool { return int64(boot()) < h.loadingUntil.Load() }
 
 // writeClaim writes the ownership row. After a lost answer it reads back what
 // became of the write.
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -220,7 +220,7 @@
 			Puts:     []kvstore.Put{{Key: beatKey, Value: []byte(h.instance)}},
 		})
 		switch {
-		case err == nil:
+		case err == nil && tables != nil:
 			h.tables.Confirm(tables.Version, sent)
 		case errs.Is(err, kvstore.ErrConflict):
 			if revisionOf(found, ownerKey, ownerRev) != ownerRev {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -89,6 +89,8 @@
 	adviser  adviser
 	workers  *carrier.Server
 
+	loadingUntil atomic.Int64 // until when this host counts as loading the cell, by boot
+
 	refreshMu  sync.Mutex
 	refreshing chan struct{} // closed when the look at the configuration under way has ended
 
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -28,23 +28,22 @@
 	Deadline time.Duration // by which the work should have ended
 }
 
-// Compare orders work by priority, then what is begun before what is not, then
-// entitled work before excess, then by deadline. What cannot meet its deadline
-// any more and is not begun goes after all of that, and what nobody waits for
-// after everything. It answers four loads: a flood from one team, where the
-// others' work goes first; a burst beyond the capacity, where plain deadline
-// order would make all work late; jobs of several steps in a full cell, which
-// would be begun and left half done behind later ones, so that the capacity is
-// spent and nothing ends; and the time after an overload, where work that is
-// of no use any more would keep new work late.
+// Compare orders work by priority. Within a priority, what is not begun and
+// cannot meet its deadline any more goes last; before it goes what is begun, then
+// entitled work before excess, then by deadline. What nobody waits for goes after
+// everything. It answers four loads: a flood from one team, where the others' work
+// goes first; a burst beyond the capacity, where plain deadline order would make
+// all work late; jobs of several steps in a full cell, which would be begun and
+// left half done behind later ones; and the time after an overload, where urgent
+// work that is late would wait for all work of lower priorities.
 func Compare(a, b Rank) int {
 	if c := compareBool(a.Hopeless, b.Hopeless); c != 0 {
 		return c
 	}
-	if c := compareBool(a.Late, b.Late); c != 0 {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+	if c := compareBool(a.Late, b.Late); c != 0 {
 		return c
 	}
 	if c := compareBool(b.Begun, a.Begun); c != 0 {
