--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -14,7 +14,7 @@
 	// value, and the ownership row needs a condition.
 	saveBatch = 14
 	// saveParallel bounds the writes under way.
-	saveParallel = 6
+	saveParallel = 16
 	// flushPeriod is the time between two looks for records that are due: a look
 	// goes through all of them, and while the store is away they are many.
 	flushPeriod = 2 * time.Millisecond
