--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -43,6 +43,7 @@
 		{"settings that do not exist", []string{"settings", "--settings", "none.ini"}, "none.ini"},
 		{"pool that no minion serves", []string{"check", "--tables", "../../examples/tawfiq/tables.ini",
 			"--cell", "../../examples/co-operative/cell.ini"}, `value "quote-desk": allowed: a service that minions serve`},
+		{"late jobs without logs", []string{"explain", "--late"}, "--late needs --log"},
 		{"nothing to check", []string{"check"}, "--settings, --tables or both"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/cli/job.go
+++ b/internal/cli/job.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/spf13/cobra"
+	"github.com/zeebo/errs"
 
 	"turmericspread.org/turmericspread/pkg/client"
 )
@@ -105,16 +106,29 @@
 
 func newExplainCmd(opts *options) *cobra.Command {
 	var logFile string
+	var late bool
 	cmd := &cobra.Command{
 		Use:   "explain JOB [--log FILE]",
 		Short: "Tell why a job waits, where it went and what was weighed",
 		Long: `Tell why a job waits, where it went and what was weighed: of a cell that runs,
-or, with --log, from the collected logs of its hosts.`,
+or, with --log, from the collected logs of its hosts. With --late, sum up where the
+time of all late jobs in the logs went.`,
 		Example: `  turmericspread explain settlement.5f0c
-  turmericspread explain 5c0e7a21d94b36f8 --log hosts.log`,
-		Args: exactly(1),
+  turmericspread explain 5c0e7a21d94b36f8 --log hosts.log
+  turmericspread explain --late --log hosts.log`,
+		Args: func(cmd *cobra.Command, args []string) error {
+			if late {
+				return exactly(0)(cmd, args)
+			}
+			return exactly(1)(cmd, args)
+		},
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if logFile != "" {
+			switch {
+			case late && logFile == "":
+				return badInput{errs.New("--late needs --log")}
+			case late:
+				return explainLate(opts, logFile)
+			case logFile != "":
 				return explainLog(opts, logFile, args[0])
 			}
 			job, err := opts.client().Explain(cmd.Context(), args[0])
@@ -132,6 +146,7 @@
 			})
 		},
 	}
+	cmd.Flags().BoolVar(&late, "late", false, "sum up all late jobs of the logs")
 	cmd.Flags().StringVar(&logFile, "log", "", "collected logs of the hosts, or - for standard input")
 	return cmd
 }
--- /dev/null
+++ b/internal/logstory/waits.go
@@ -0,0 +1,124 @@
+package logstory
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+)
+
+// QueueWaits sums where the time of a queue's late jobs went.
+type QueueWaits struct {
+	Queue  string
+	Jobs   int // completed
+	Late   int // of these, after their allowance
+	Age    time.Duration
+	Waited map[string]time.Duration // of the late jobs, by reason
+}
+
+// Reasons lists the reasons by the time that they took, longest first.
+func (q *QueueWaits) Reasons() (names []string) {
+	return slices.SortedFunc(maps.Keys(q.Waited), func(a, b string) int {
+		if c := int(q.Waited[b] - q.Waited[a]); c != 0 {
+			return c
+		}
+		return strings.Compare(a, b)
+	})
+}
+
+// String shows the sums for people. What is neither waiting for a reason nor
+// named is running, and the way of answers and records.
+func (q *QueueWaits) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %d of %d late, %.1f s of age", q.Queue, q.Late, q.Jobs, q.Age.Seconds())
+	rest := q.Age
+	for _, reason := range q.Reasons() {
+		rest -= q.Waited[reason]
+		fmt.Fprintf(&b, ", %s %.1f s", reason, q.Waited[reason].Seconds())
+	}
+	fmt.Fprintf(&b, ", running and other %.1f s", rest.Seconds())
+	return b.String()
+}
+
+// LateJobs sums, by queue, where the time of completed jobs went that ended
+// after their allowance. Queues with the most late jobs come first.
+func LateJobs(r io.Reader) (list []*QueueWaits, err error) {
+	defer Error.WrapP(&err)
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, maxLine), maxLine)
+	queues := map[string]*QueueWaits{}
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok || line.event != event.CellJobEnded.Number || line.fields["state"] != "completed" {
+			continue
+		}
+		name, _ := line.fields["queue"].(string)
+		q := queues[name]
+		if q == nil {
+			q = &QueueWaits{Queue: name, Waited: map[string]time.Duration{}}
+			queues[name] = q
+			list = append(list, q)
+		}
+		q.add(&line)
+	}
+	slices.SortStableFunc(list, func(a, b *QueueWaits) int { return b.Late - a.Late })
+	return list, scanner.Err()
+}
+
+func (q *QueueWaits) add(line *Line) {
+	q.Jobs++
+	age := line.millis("age")
+	if allowed := line.millis("allowed"); allowed == 0 || age <= allowed {
+		return
+	}
+	q.Late++
+	q.Age += age
+	for reason, d := range line.waited() {
+		q.Waited[reason] += d
+	}
+}
+
+// waited returns how long the steps of a job that is over waited, by reason.
+func (l *Line) waited() (waited map[string]time.Duration) {
+	waited = map[string]time.Duration{}
+	fields, _ := l.fields["waited"].(map[string]any)
+	for reason, value := range fields {
+		if ms, ok := value.(float64); ok {
+			waited[reason] = time.Duration(ms * float64(time.Millisecond))
+		}
+	}
+	return waited
+}
+
+// millis returns the duration that a field holds in milliseconds.
+func (l *Line) millis(name string) time.Duration {
+	ms, _ := l.fields[name].(float64)
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// Cause says in one sentence how a job ended and what it waited for most. It is
+// empty if no line tells that the job is over.
+func Cause(lines []Line) string {
+	for i := range lines {
+		l := &lines[i]
+		if l.event != event.CellJobEnded.Number {
+			continue
+		}
+		q := QueueWaits{Age: l.millis("age"), Waited: l.waited()}
+		when := "in time"
+		if allowed := l.millis("allowed"); allowed > 0 && q.Age > allowed {
+			when = fmt.Sprintf("%.2f s late", (q.Age - allowed).Seconds())
+		}
+		sentence := fmt.Sprintf("The job is %v after %.2f s, %s", l.fields["state"], q.Age.Seconds(), when)
+		if reasons := q.Reasons(); len(reasons) > 0 {
+			return sentence + fmt.Sprintf("; its steps waited longest for: %s, %.2f s.", reasons[0], q.Waited[reasons[0]].Seconds())
+		}
+		return sentence + "; no wait was noted."
+	}
+	return ""
+}
