fix: look at all steps in the first pass of an owner

The number of the first round was the one that new steps carry, so the first pass of an owner passed over all but the best 64; the next pass, up to 50 ms later, took them.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -61,3 +61,20 @@
 		})
 	}
 }
+
+// TestFirstPassLooksAtAllSteps has more steps wait than each pass begins with.
+func TestFirstPassLooksAtAllSteps(t *testing.T) {
+	const workers, jobs = 100, 2 * passFirst
+	s := newSim(t, 1, workers)
+	s.claim()
+	s.run(time.Second)
+	for i := range jobs {
+		job := &work.Job{ID: fmt.Sprintf("j%d", i), Team: "team", Queue: "q", Steps: []work.Step{tasksOf(1, time.Second)}, Accepted: s.now}
+		s.jobs[job.ID] = &simJob{spec: job}
+		s.owner.Accept(job)
+	}
+	s.owner.schedule(s.now)
+	for _, j := range s.owner.active {
+		assert.Equal(t, len(j.tasks[0].runs), 1, "%s was not looked at", j.spec.ID)
+	}
+}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -145,6 +145,7 @@
 		ratios:   map[string]*ratio{},
 		shares:   map[string]*ratio{},
 		advising: map[time.Duration]int{},
+		round:    1, // a new step was looked at in none
 	}
 }
 
