--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -98,7 +98,7 @@
 			event.CellAdviceFailed.Log(o.Log).Str("step", order.Step).Int("workers", len(names)).Err(err).Send()
 			return
 		}
-		o.goodShare(s.job.spec.Queue).add(float64(len(report.Good)) / float64(len(names)))
+		o.shares.of(s.job.spec.Queue).add(float64(len(report.Good)) / float64(len(names)))
 		// The answer may have waited on its way: the tickets count from when it can
 		// have been given at the earliest.
 		a.learn(names, lives, report, now+cost+min(report.Valid, policy.Valid))
@@ -134,16 +134,6 @@
 	promise resource.Vector // room that the step is expected to take there
 }
 
-// goodShare is the learned share of workers that the queue's steps may run on.
-func (o *Owner) goodShare(queue string) *ratio {
-	r := o.shares[queue]
-	if r == nil {
-		r = &ratio{}
-		o.shares[queue] = r
-	}
-	return r
-}
-
 // adviceCandidates picks whom to ask about: as few as are likely to be enough.
 // It answers a backlog of steps that all have to ask: room that another
 // question was asked for is left out, or all would ask for the same workers, one
@@ -173,7 +163,7 @@
 		return cmp.Compare(b.fits, a.fits)
 	})
 	learned := adviceShare
-	if r := o.goodShare(s.job.spec.Queue); r.count >= ratioSamples {
+	if r := o.shares.of(s.job.spec.Queue); r.count >= ratioSamples {
 		learned = max(r.mean, adviceShareLeast)
 	}
 	lives = map[string]int64{}
--- /dev/null
+++ b/internal/cell/evacuate.go
@@ -0,0 +1,36 @@
+package cell
+
+import (
+	"time"
+)
+
+// evacuate stops, on workers that are about to leave, what has to go on elsewhere.
+func (o *Owner) evacuate(now time.Duration) {
+	for _, n := range o.order {
+		if !n.listed || !n.w.Draining || !n.heard {
+			continue
+		}
+		for _, r := range runsOf(n) {
+			if !r.stopping && r.state == runLive && o.shouldLeave(r, now) {
+				o.stopRun(r, "the worker is draining")
+			}
+		}
+	}
+}
+
+// shouldLeave reports whether a run on a draining worker has to be stopped. A
+// serving task moves at once; one with checkpoints works until its last
+// progress can still be saved; any other may finish in time.
+func (o *Owner) shouldLeave(r *run, now time.Duration) bool {
+	spec := r.task.step.spec
+	switch {
+	case spec.LongRunning:
+		return true
+	case spec.Checkpointing:
+		return now+o.Bounds.Stop+evacuationMargin >= r.node.leaveAt
+	}
+	return false
+}
+
+// evacuationMargin covers the delay of an order and of the look that lists its end.
+const evacuationMargin = 400 * time.Millisecond
--- a/internal/cell/learn.go
+++ b/internal/cell/learn.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// ratio is a running mean of measured over expected run times.
+// ratio is a running mean, as of measured over expected run times.
 type ratio struct {
 	mean  float64
 	count int
@@ -54,7 +54,7 @@
 		return
 	}
 	x := float64(took) / float64(spec.Estimate)
-	queue := o.ratio(t.step.job.spec.Queue)
+	queue := o.ratios.of(t.step.job.spec.Queue)
 	queue.add(x)
 	if queue.count > ratioSamples {
 		if o.Now()-n.pacedAt > paceMemory {
@@ -65,11 +65,15 @@
 	}
 }
 
-func (o *Owner) ratio(name string) *ratio {
-	r := o.ratios[name]
+// ratios are running means by queue.
+type ratios map[string]*ratio
+
+// of returns the running mean of a queue.
+func (m ratios) of(queue string) *ratio {
+	r := m[queue]
 	if r == nil {
 		r = &ratio{}
-		o.ratios[name] = r
+		m[queue] = r
 	}
 	return r
 }
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -117,8 +117,8 @@
 	nextForget time.Duration
 	policies   *work.Tables          // from which the jobs have their queues
 	advising   map[time.Duration]int // questions under way, by the fixed part of their cost
-	ratios     map[string]*ratio
-	shares     map[string]*ratio // by queue, see goodShare
+	ratios     ratios                // of measured over expected run times
+	shares     ratios                // of workers that the adviser allows
 	deposed    bool
 }
 
@@ -142,8 +142,8 @@
 		usage:    map[string]resource.Vector{},
 		rates:    map[string]*sched.Allowance{},
 		dirty:    map[*job]bool{},
-		ratios:   map[string]*ratio{},
-		shares:   map[string]*ratio{},
+		ratios:   ratios{},
+		shares:   ratios{},
 		advising: map[time.Duration]int{},
 		round:    1, // a new step was looked at in none
 	}
