fix: passes that are broken off go on where they ended

Found on reading the diff: a pass looks at the best 64 steps and ends after 5 ms. Where these take 5 ms and find no room, as with thousands of workers and no adviser, no pass got beyond them, and a step of another pool with room was never looked at. Every other pass now goes on where the one before ended. TestSlowPassesReachAllSteps: not placed in 400 passes before.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -78,3 +78,38 @@
 		assert.Equal(t, len(j.tasks[0].runs), 1, "%s was not looked at", j.spec.ID)
 	}
 }
+
+// TestSlowPassesReachAllSteps has the best steps take all the time of a pass and
+// find no room: a step of another pool, with room, is reached all the same.
+func TestSlowPassesReachAllSteps(t *testing.T) {
+	const blocked, passes = 80, 400
+	s := newSim(t, 1, 3)
+	// Cores are free on one worker, memory on the other: nothing fits, though each
+	// is there.
+	s.workers["w00"].w.Capacity = resource.Vector{MilliCores: 4000, MemoryMB: 100}
+	s.workers["w01"].w.Capacity = resource.Vector{MilliCores: 100, MemoryMB: 8000}
+	s.workers["w02"].w.Pool = "other"
+	s.tables.Queues = append(s.tables.Queues, work.Queue{Name: "low", Service: "other", Attempts: 3, Stretch: 2, Priority: 2})
+	s.tables.Index()
+	s.claim()
+	s.run(time.Second)
+	accept := func(id, queue string) {
+		job := &work.Job{ID: id, Team: "team", Queue: queue, Steps: []work.Step{tasksOf(1, time.Second)}, Accepted: s.now}
+		s.jobs[id] = &simJob{spec: job}
+		s.owner.Accept(job)
+	}
+	for i := range blocked {
+		accept(fmt.Sprintf("j%d", i), "q")
+	}
+	accept("low", "low")
+	now := s.now
+	s.owner.Now = func() time.Duration {
+		now += passMost // each look at the clock finds the time of the pass used up
+		return now
+	}
+	for range passes {
+		s.owner.listedAt = now
+		s.owner.schedule(s.now)
+	}
+	assert.Equal(t, len(s.owner.jobs["low"].tasks[0].runs), 1, "not placed in %d passes", passes)
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -57,14 +57,19 @@
 		return
 	}
 	pools := o.usableNodes(now)
+	always := passFirst
+	if o.Counters.Passes%2 == 0 {
+		always = 0 // what the pass before did not reach comes first
+	}
+	placed := 0
 	for i := range groups {
 		g := &groups[i]
-		if i >= passFirst && g.step.round == o.round {
+		if i >= always && g.step.round == o.round {
 			continue
 		}
 		g.step.round = o.round
 		o.waitFor(g.step, o.place(g, pools[g.step.job.queue.Service], now), now)
-		if i%passCheck == 0 && o.Now()-now > passMost {
+		if placed++; placed%passCheck == 0 && o.Now()-now > passMost {
 			o.changed = true // the rest comes with the next passes
 			return
 		}
@@ -77,9 +82,11 @@
 	// processor nothing else runs meanwhile: no order goes out and no answer comes
 	// in. A backlog of a thousand steps takes several passes then.
 	passMost = 5 * time.Millisecond
-	// passFirst is how many of the best steps each pass looks at.
+	// passFirst is how many of the best steps every other pass begins with. The
+	// passes between go on where the one before was broken off, or steps that find
+	// no room would keep the rest from being looked at.
 	passFirst = 64
-	// passCheck is how many steps are placed between two looks at the clock.
+	// passCheck is how many steps are looked at between two looks at the clock.
 	passCheck = 8
 )
 
