feat(cell): learn allowed workers early, busy ones included

Change: a query also names unknown busy workers as long as they cost less than its fixed part, and a step that waits for capacity or its team's limit learns meanwhile.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -55,6 +55,10 @@
 	// minAllowedFraction bounds the learned fraction from below, because a query costs
 	// time for each worker that it names.
 	minAllowedFraction = 0.1
+	// maxBusyCost is the maximum time that a query spends on workers without free
+	// capacity, as a multiple of its fixed cost. Up to this point another query would
+	// cost more.
+	maxBusyCost = 1
 	// candidateSurplus multiplies the number of workers that would be sufficient,
 	// because free capacity changes while the response is in transit.
 	candidateSurplus = 1.5
@@ -62,9 +66,9 @@
 	queryRetryInterval = 100 * time.Millisecond
 )
 
-// queryAdvice queries the adviser about workers with free capacity for tasks of the
-// step. Workers known to be allowed come first, workers known not to be allowed are
-// left out. It returns what the step waits for.
+// queryAdvice queries the adviser about workers for tasks of the step, unless no
+// worker is worth a query. Workers known to be allowed come first, workers known not to
+// be allowed are left out. It returns what the step waits for.
 func (o *Owner) queryAdvice(s *step, nodes []*node, waiting int, now time.Duration) (reason WaitReason) {
 	a := &s.advice
 	policy := s.job.queue.Advice
@@ -129,18 +133,61 @@
 	}
 }
 
+// learnAllowed queries the adviser while the step cannot start for another reason,
+// unless enough workers are known. Without it a step that waits for a whole worker would
+// have to query about each worker that becomes free, and would lose it meanwhile.
+func (o *Owner) learnAllowed(s *step, nodes []*node, now time.Duration) {
+	policy := s.job.queue.Advice
+	if policy == nil || len(s.advice.allowed) >= min(len(nodes), maxBusyWorkers(policy)) {
+		return
+	}
+	o.queryAdvice(s, nodes, len(s.tasks)-s.tasksDone-s.tasksRunning, now)
+}
+
+// maxBusyWorkers returns how many workers without free capacity a query may name.
+func maxBusyWorkers(policy *work.Advice) int {
+	if policy.Each <= 0 {
+		return maxQueryWorkers
+	}
+	return int(min(maxBusyCost*policy.Decide/policy.Each, maxQueryWorkers))
+}
+
 // queriedWorker is a worker that a placement query names.
 type queriedWorker struct {
 	node    *node
 	known   bool // known to be allowed
 	fits    int64
+	free    resource.Vector
 	promise resource.Vector // capacity that the step is expected to take there
 }
 
-// queryCandidates selects the workers for a query: as few as are likely to be
-// sufficient. With a backlog of steps that all need advice, it leaves out capacity
-// for which another query is in flight. Otherwise all steps would query the same
-// workers, one would get them and the others would have to query again.
+// compareQueried orders workers by their use to a step: workers with free capacity
+// first, and among these the ones known to be allowed. Busy workers with more free
+// capacity come before fuller ones.
+func compareQueried(a, b queriedWorker) int {
+	switch {
+	case a.known != b.known:
+		if a.known {
+			return -1
+		}
+		return 1
+	case a.fits != b.fits:
+		return cmp.Compare(b.fits, a.fits)
+	case a.fits > 0:
+		return 0
+	}
+	return cmp.Or(cmp.Compare(b.free.Accelerators, a.free.Accelerators), cmp.Compare(b.free.MilliCores, a.free.MilliCores))
+}
+
+// queryCandidates selects the workers for a query: those with free capacity, as few as
+// are likely to be sufficient. With a backlog of steps that all need advice, it leaves
+// out capacity for which another query is in flight. Otherwise all steps would query the
+// same workers, one would get them and the others would have to query again.
+//
+// If they are not sufficient, it adds unknown workers without free capacity as long as
+// these cost less than another query. This is for steps that need all of a worker: few
+// workers are free at any time, fewer of them are allowed, and the fixed cost of a query
+// is high.
 func (o *Owner) queryCandidates(s *step, nodes []*node, waiting int, now time.Duration) (queried []queriedWorker, names []string, incarnations map[string]int64) {
 	a := &s.advice
 	demand := s.tasks[0].demand()
@@ -151,30 +198,30 @@
 		if known && !good || !o.mayRun(s, n) || a.hasTicket(n, now) {
 			continue
 		}
-		fits := min(n.free().Sub(n.promised).Count(demand), int64(n.maxTasks(s)))
-		if fits > 0 {
-			list = append(list, queriedWorker{node: n, known: known, fits: fits})
+		free := n.free().Sub(n.promised)
+		fits := max(min(free.Count(demand), int64(n.maxTasks(s))), 0)
+		if fits > 0 || !known {
+			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free})
 		}
 	}
-	slices.SortStableFunc(list, func(a, b queriedWorker) int {
-		if a.known != b.known {
-			if a.known {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(b.fits, a.fits)
-	})
+	slices.SortStableFunc(list, compareQueried)
 	expectedFraction := defaultAllowedFraction
 	if r := o.allowedFractions.of(s.job.spec.Queue); r.count >= minSamples {
 		expectedFraction = max(r.mean, minAllowedFraction)
 	}
 	incarnations = map[string]int64{}
+	busyLeft := maxBusyWorkers(s.job.queue.Advice)
 	var covered float64
 	for _, c := range list {
 		if len(names) >= maxQueryWorkers || len(names) >= minQueryWorkers && covered >= candidateSurplus*float64(waiting) {
 			break
 		}
+		if c.fits == 0 {
+			if busyLeft == 0 {
+				break
+			}
+			busyLeft--
+		}
 		names = append(names, c.node.worker.ID)
 		incarnations[c.node.worker.ID] = c.node.incarnation
 		fraction := expectedFraction
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -13,13 +13,20 @@
 func (o *Owner) assign(g *group, p *pool, now time.Duration) (reason WaitReason) {
 	s := g.step
 	demand := s.tasks[0].demand()
-	switch {
-	case p == nil || !p.mayFit(demand):
+	if p == nil {
 		return ReasonCapacity
+	}
+	switch {
+	case !p.mayFit(demand):
+		reason = ReasonCapacity
 	case !o.withinMaximum(s, 1):
-		return ReasonLimit
+		reason = ReasonLimit
 	case !p.admits(g, demand):
-		return ReasonReserve
+		reason = ReasonReserve
+	}
+	if reason != ReasonNone {
+		o.learnAllowed(s, p.nodes, now)
+		return reason
 	}
 	g.collect(now)
 	switch {
