--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -115,7 +115,9 @@
 }
 
 // Choose returns the index of the best candidate for demand: the lowest penalty, then
-// the least free capacity. It returns -1 if no candidate fits.
+// the fewest free accelerators, then the least free processor time. It returns -1 if no
+// candidate fits. This order leaves whole workers free for tasks that need all of one,
+// while narrow tasks fill the others.
 func Choose(candidates []Candidate, demand resource.Vector) (best int) {
 	best = -1
 	for i := range candidates {
@@ -135,6 +137,9 @@
 	if a.Penalty != b.Penalty {
 		return a.Penalty < b.Penalty
 	}
+	if a.Free.Accelerators != b.Free.Accelerators {
+		return a.Free.Accelerators < b.Free.Accelerators
+	}
 	return a.Free.MilliCores < b.Free.MilliCores
 }
 
