feat(cell): reserve capacity for tasks that need most of a worker

Cause: narrow tasks of lower rank take each part of a worker as it becomes free, so wide tasks and gangs find none; with allowed workers known this was the largest wait.

Change: a wide step that waits reserves the workers that are free first. Lower-ranked work may use them if it is expected to end before, or if enough remains. Tickets are requested one query ahead of the expected time. At most half of a pool is reserved.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -69,7 +69,7 @@
 // queryAdvice queries the adviser about workers for tasks of the step, unless no
 // worker is worth a query. Workers known to be allowed come first, workers known not to
 // be allowed are left out. It returns what the step waits for.
-func (o *Owner) queryAdvice(s *step, nodes []*node, waiting int, now time.Duration) (reason WaitReason) {
+func (o *Owner) queryAdvice(s *step, p *pool, waiting int, now time.Duration) (reason WaitReason) {
 	a := &s.advice
 	policy := s.job.queue.Advice
 	switch {
@@ -78,7 +78,7 @@
 	case now < a.retryAt || o.queriesInFlight[policy.Decide] >= o.MaxAdviceCalls(policy.Decide):
 		return ReasonAdviser
 	}
-	queried, names, incarnations := o.queryCandidates(s, nodes, waiting, now)
+	queried, names, incarnations := o.queryCandidates(s, p, waiting, now)
 	if len(names) == 0 {
 		return ReasonCapacity
 	}
@@ -136,12 +136,30 @@
 // learnAllowed queries the adviser while the step cannot start for another reason,
 // unless enough workers are known. Without it a step that waits for a whole worker would
 // have to query about each worker that becomes free, and would lose it meanwhile.
-func (o *Owner) learnAllowed(s *step, nodes []*node, now time.Duration) {
-	policy := s.job.queue.Advice
-	if policy == nil || len(s.advice.allowed) >= min(len(nodes), maxBusyWorkers(policy)) {
-		return
+func (o *Owner) learnAllowed(s *step, p *pool, now time.Duration) {
+	if s.job.queue.Advice != nil && s.mayLearn(p) {
+		o.queryAdvice(s, p, len(s.tasks)-s.tasksDone-s.tasksRunning, now)
+	}
+}
+
+// mayLearn reports whether queries about workers without free capacity are worthwhile.
+func (s *step) mayLearn(p *pool) bool {
+	return len(s.advice.allowed) < min(len(p.nodes), maxBusyWorkers(s.job.queue.Advice))
+}
+
+// queryScope returns the workers that a query for the step may name. In a full pool with
+// a long backlog these have to be few.
+func (s *step) queryScope(p *pool) (nodes []*node) {
+	if s.spec.BestEffort || s.mayLearn(p) {
+		return p.nodes
+	}
+	nodes = p.notFull
+	for _, r := range s.reservations {
+		if !slices.Contains(nodes, r.node) {
+			nodes = append(slices.Clip(nodes), r.node)
+		}
 	}
-	o.queryAdvice(s, nodes, len(s.tasks)-s.tasksDone-s.tasksRunning, now)
+	return nodes
 }
 
 // maxBusyWorkers returns how many workers without free capacity a query may name.
@@ -188,18 +206,19 @@
 // these cost less than another query. This is for steps that need all of a worker: few
 // workers are free at any time, fewer of them are allowed, and the fixed cost of a query
 // is high.
-func (o *Owner) queryCandidates(s *step, nodes []*node, waiting int, now time.Duration) (queried []queriedWorker, names []string, incarnations map[string]int64) {
+func (o *Owner) queryCandidates(s *step, p *pool, waiting int, now time.Duration) (queried []queriedWorker, names []string, incarnations map[string]int64) {
 	a := &s.advice
 	demand := s.tasks[0].demand()
 	var list []queriedWorker
+	nodes := s.queryScope(p)
 	o.Counters.CandidatesChecked += int64(len(nodes))
 	for _, n := range nodes {
 		good, known := a.allowed[n.worker.ID]
 		if known && !good || !o.mayRun(s, n) || a.hasTicket(n, now) {
 			continue
 		}
-		free := n.free().Sub(n.promised)
-		fits := max(min(free.Count(demand), int64(n.maxTasks(s))), 0)
+		free := o.freeFor(s, n, now).Sub(n.promised)
+		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.queue.Advice.Decide)), int64(n.maxTasks(s))), 0)
 		if fits > 0 || !known {
 			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free})
 		}
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -24,46 +24,70 @@
 	case !p.admits(g, demand):
 		reason = ReasonReserve
 	}
-	if reason != ReasonNone {
-		o.learnAllowed(s, p.nodes, now)
-		return reason
+	if reason == ReasonNone {
+		g.collect(now)
+		switch {
+		case len(g.tasks) == 0:
+			reason = ReasonRetry
+		case s.spec.Gang:
+			reason = o.assignGang(g, p, now)
+		default:
+			reason = o.assignEach(g, p, now)
+		}
 	}
-	g.collect(now)
-	switch {
-	case len(g.tasks) == 0:
-		return ReasonRetry
-	case s.spec.Gang:
-		return o.assignGang(g, p, now)
+	switch reason {
+	case ReasonCapacity, ReasonAdviser, ReasonAdvice:
+		o.reserve(g, p, now)
+	default:
+		o.dropReservations(s)
+	}
+	if reason != ReasonRecord && reason != ReasonAdvice && reason != ReasonAdviser {
+		o.learnAllowed(s, p, now)
 	}
-	return o.assignEach(g, p, now)
+	return reason
 }
 
 // candidates returns the workers that may run the step's tasks.
-func (o *Owner) candidates(s *step, nodes []*node, now time.Duration) (candidates []sched.Candidate, usable []*node) {
+func (o *Owner) candidates(s *step, p *pool, now time.Duration) (candidates []sched.Candidate, usable []*node) {
+	nodes := p.nodes
 	if s.job.queue.Advice != nil {
 		// Only the workers with a ticket, which are few, are checked.
-		nodes = o.ticketHolders(s, now)
+		nodes = o.ticketHolders(s, p, now)
 	}
 	o.Counters.CandidatesChecked += int64(len(nodes))
 	for _, n := range nodes {
 		if !o.mayRun(s, n) {
 			continue
 		}
-		candidate := sched.Candidate{Free: n.free(), Rack: n.worker.Rack, MaxTasks: n.maxTasks(s), Penalty: o.penalty(s, n, now)}
+		candidate := sched.Candidate{Free: o.freeFor(s, n, now), Rack: n.worker.Rack, MaxTasks: n.maxTasks(s), Penalty: o.penalty(s, n, now)}
 		candidates = append(candidates, candidate)
 		usable = append(usable, n)
 	}
 	return candidates, usable
 }
 
-// ticketHolders returns the usable workers that have a ticket for the step.
-func (o *Owner) ticketHolders(s *step, now time.Duration) (nodes []*node) {
+// ticketHolders returns the usable workers that have a ticket for the step. In a full
+// pool it leaves out the full ones.
+func (o *Owner) ticketHolders(s *step, p *pool, now time.Duration) (nodes []*node) {
 	if now >= s.advice.ticketsUntil {
 		return nil // all tickets have expired
 	}
+	if len(p.notFull) < len(s.advice.ticketedWorkers) && !s.spec.BestEffort {
+		for _, n := range p.notFull {
+			if s.advice.hasTicket(n, now) {
+				nodes = append(nodes, n)
+			}
+		}
+		return nodes
+	}
+	return slices.DeleteFunc(o.allowedWorkers(s, now), func(n *node) bool { return !s.advice.hasTicket(n, now) })
+}
+
+// allowedWorkers returns the usable workers that are known to be allowed to run the step.
+func (o *Owner) allowedWorkers(s *step, now time.Duration) (nodes []*node) {
 	for _, id := range s.advice.ticketedWorkers {
 		n := o.nodes[id]
-		if n != nil && n.usable(now) && n.worker.Pool == s.job.queue.Service && s.advice.hasTicket(n, now) {
+		if n != nil && n.usable(now) && n.worker.Pool == s.job.queue.Service {
 			nodes = append(nodes, n)
 		}
 	}
@@ -111,7 +135,7 @@
 // wait.
 func (o *Owner) assignEach(g *group, p *pool, now time.Duration) (reason WaitReason) {
 	s := g.step
-	candidates, usable := o.candidates(s, p.nodes, now)
+	candidates, usable := o.candidates(s, p, now)
 	assigned := 0
 	for _, t := range g.tasks {
 		switch {
@@ -134,7 +158,7 @@
 	case assigned == len(g.tasks):
 		return ReasonRecord
 	case s.job.queue.Advice != nil:
-		return o.queryAdvice(s, p.nodes, len(g.tasks)-assigned, now)
+		return o.queryAdvice(s, p, len(g.tasks)-assigned, now)
 	}
 	return ReasonCapacity
 }
@@ -189,11 +213,11 @@
 	case !p.admits(g, g.tasks[0].demand().Scale(int64(len(g.tasks)))):
 		return ReasonReserve
 	}
-	candidates, usable := o.candidates(s, p.nodes, now)
+	candidates, usable := o.candidates(s, p, now)
 	picks := sched.ChooseAll(candidates, g.tasks[0].demand(), len(g.tasks), sched.GangPreference{SameRack: s.spec.RackSensitive})
 	if picks == nil {
 		if s.job.queue.Advice != nil {
-			return o.queryAdvice(s, p.nodes, len(g.tasks), now)
+			return o.queryAdvice(s, p, len(g.tasks), now)
 		}
 		return ReasonCapacity
 	}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -47,6 +47,8 @@
 	copiesWanted   int     // tasks that wait for a speculative copy
 	failedRuns     []int64 // failed runs of the whole gang
 	advice         advice
+	rank           sched.Rank // in the last scheduling pass
+	reservations   []*reservation
 	startedAt      time.Duration // when the first start was sent
 	lastTaskDoneAt time.Duration // time of day at which a task was last done
 	sweep          int           // last sweep in which the step was checked
--- /dev/null
+++ b/internal/cell/reserve.go
@@ -0,0 +1,205 @@
+package cell
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/sched"
+)
+
+// reservation keeps capacity of a worker for tasks of a step until it is sufficient.
+// Work that comes later in the order of sched.Compare may use the capacity only if it is
+// expected to end before, or if enough remains.
+type reservation struct {
+	step   *step
+	node   *node
+	demand resource.Vector // of all tasks for which it is made
+	tasks  int64
+	freed  resource.Vector // expected to become free by at
+	at     time.Duration
+	madeAt time.Duration
+}
+
+const (
+	// wideFraction is the fraction of a worker that a task has to demand for a
+	// reservation. Narrow tasks find capacity as soon as any task ends.
+	wideFraction = 0.5
+	// maxReservedFraction bounds the workers of a pool that are reserved at a time.
+	maxReservedFraction = 0.5
+	// reservationValidity is how long a reservation lasts if its step is not checked again.
+	reservationValidity = 500 * time.Millisecond
+	// minRemaining is the remaining run time that is expected of a run that has
+	// exceeded its estimate.
+	minRemaining = 100 * time.Millisecond
+)
+
+// wide reports whether the step needs reservations to find capacity in a full pool.
+func (g *group) wide(p *pool) bool {
+	s := g.step
+	if s.spec.BestEffort || s.spec.LongRunning || len(p.nodes) == 0 {
+		return false
+	}
+	workers := int64(len(p.nodes))
+	mean := resource.Vector{
+		MilliCores: p.total.MilliCores / workers, MemoryMB: p.total.MemoryMB / workers, Accelerators: p.total.Accelerators / workers,
+	}
+	return s.spec.Gang && len(s.tasks) > 1 || s.tasks[0].demand().Dominant(mean) > wideFraction
+}
+
+// reserve keeps the capacity that is free first for the waiting tasks of a wide step. It
+// replaces earlier reservations of the step.
+func (o *Owner) reserve(g *group, p *pool, now time.Duration) {
+	s := g.step
+	o.dropReservations(s)
+	waiting := len(s.tasks) - s.tasksDone - s.tasksRunning
+	if waiting <= 0 || !g.wide(p) {
+		return
+	}
+	nodes, workers := o.reservable(g, p, now)
+	demand := s.tasks[0].demand()
+	count := waiting
+	if !s.spec.Gang {
+		count = min(count, len(nodes))
+	}
+	slots := sched.EarliestSlots(workers, demand, count, now)
+	for _, slot := range slots {
+		o.addReservation(s, nodes[slot.Worker], slot, demand, now)
+	}
+}
+
+// reservable returns the workers that may run the step and are not reserved for work of
+// a better rank, and when they become free.
+func (o *Owner) reservable(g *group, p *pool, now time.Duration) (nodes []*node, workers []sched.BusyWorker) {
+	s := g.step
+	if o.reservedWorkers(p) >= int(maxReservedFraction*float64(len(p.nodes)))+1 {
+		return nil, nil
+	}
+	list := p.nodes
+	if s.job.queue.Advice != nil {
+		list = o.allowedWorkers(s, now)
+	}
+	o.Counters.CandidatesChecked += int64(len(list))
+	for _, n := range list {
+		if !o.mayRun(s, n) || n.maxTasks(s) <= 0 {
+			continue
+		}
+		if slices.ContainsFunc(n.reservations, func(r *reservation) bool { return sched.Compare(r.step.rank, s.rank) < 0 }) {
+			continue
+		}
+		nodes = append(nodes, n)
+		workers = append(workers, sched.BusyWorker{Free: n.free(), Releases: o.releases(n, now), MaxTasks: n.maxTasks(s)})
+	}
+	return nodes, workers
+}
+
+// releases returns when the runs of a worker are expected to end.
+func (o *Owner) releases(n *node, now time.Duration) (list []sched.Release) {
+	for _, r := range sortedRuns(n) {
+		if end, ok := o.expectedEnd(r, now); ok {
+			list = append(list, sched.Release{At: end, Amount: r.demand})
+		}
+	}
+	return list
+}
+
+// expectedEnd estimates when a run ends, by its progress or else by the estimate and the
+// usual error of the estimates of its queue; ok is false for a run that has no end.
+func (o *Owner) expectedEnd(r *run, now time.Duration) (end time.Duration, ok bool) {
+	spec := r.task.step.spec
+	switch {
+	case r.stopping:
+		return max(r.stopSentAt+o.Bounds.StopTimeout, now), true
+	case spec.LongRunning:
+		return 0, false
+	}
+	since := cmp.Or(r.liveSince, now)
+	if gained := r.percent - r.firstPercent; r.firstAt > 0 && gained >= minSiblingPercent {
+		total := (r.resolvedAt - r.firstAt) * percentTotal / time.Duration(gained)
+		return max(r.resolvedAt+total*time.Duration(percentTotal-r.percent)/percentTotal, now), true
+	}
+	return max(since+o.expectedRunTime(r.task.step), now+minRemaining), true
+}
+
+// expectedRunTime returns the estimated run time of a task, corrected by the usual error
+// of the estimates of its queue.
+func (o *Owner) expectedRunTime(s *step) time.Duration {
+	if ratio := o.runTimeRatios.of(s.job.spec.Queue); ratio.count >= minSamples {
+		return time.Duration(float64(s.spec.Estimate) * ratio.mean)
+	}
+	return s.spec.Estimate
+}
+
+// addReservation reserves one slot.
+func (o *Owner) addReservation(s *step, n *node, slot sched.Slot, demand resource.Vector, now time.Duration) {
+	for _, r := range n.reservations {
+		if r.step == s {
+			r.demand, r.tasks = r.demand.Add(demand), r.tasks+1
+			r.at, r.freed = max(r.at, slot.At), slot.Freed
+			return
+		}
+	}
+	r := &reservation{step: s, node: n, demand: demand, tasks: 1, freed: slot.Freed, at: slot.At, madeAt: now}
+	n.reservations = append(n.reservations, r)
+	s.reservations = append(s.reservations, r)
+}
+
+// dropReservations ends the reservations of a step.
+func (o *Owner) dropReservations(s *step) {
+	for _, r := range s.reservations {
+		r.node.reservations = slices.DeleteFunc(r.node.reservations, func(other *reservation) bool { return other == r })
+	}
+	s.reservations = nil
+}
+
+// reservedWorkers returns how many workers of a pool are reserved.
+func (o *Owner) reservedWorkers(p *pool) (count int) {
+	for _, n := range p.nodes {
+		if len(n.reservations) > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// expireReservations ends the reservations of steps that have not been checked again: they
+// no longer wait, or passes do not reach them.
+func (o *Owner) expireReservations(now time.Duration) {
+	for _, n := range o.sortedNodes {
+		n.reservations = slices.DeleteFunc(n.reservations, func(r *reservation) bool {
+			if !r.step.job.finished() && now-r.madeAt < reservationValidity {
+				return false
+			}
+			r.step.reservations = slices.DeleteFunc(r.step.reservations, func(other *reservation) bool { return other == r })
+			return true
+		})
+	}
+}
+
+// freeFor returns the free capacity of a worker that the step may use, which excludes
+// capacity reserved for work of a better rank.
+func (o *Owner) freeFor(s *step, n *node, now time.Duration) (free resource.Vector) {
+	free = n.free()
+	for _, r := range n.reservations {
+		if r.step == s || sched.Compare(r.step.rank, s.rank) >= 0 {
+			continue
+		}
+		if !s.spec.LongRunning && now+o.expectedRunTime(s) <= r.at {
+			continue
+		}
+		free = free.Min(n.free().Add(r.freed).Sub(r.demand))
+	}
+	return free
+}
+
+// reservedTasks returns for how many tasks of the step a worker is reserved that has
+// their capacity within the given time.
+func (s *step) reservedTasks(n *node, until time.Duration) (tasks int64) {
+	for _, r := range s.reservations {
+		if r.node == n && r.at <= until {
+			tasks += r.tasks
+		}
+	}
+	return tasks
+}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -21,6 +21,7 @@
 // pool holds the workers of a service that currently accept work.
 type pool struct {
 	nodes   []*node
+	notFull []*node // with some processor time and memory free at the start of the pass
 	free    resource.Vector
 	total   resource.Vector
 	maxFree resource.Vector // largest free capacity of any worker, per resource
@@ -53,6 +54,7 @@
 	}
 	o.unresolvedByTeam = o.unresolvedUsage()
 	o.Counters.Passes++
+	o.expireReservations(now)
 	groups := o.waitingGroups(now)
 	if len(groups) == 0 {
 		return
@@ -166,6 +168,9 @@
 		free := n.free()
 		p.free = p.free.Add(free)
 		p.maxFree = p.maxFree.Max(free)
+		if free.MilliCores > 0 && free.MemoryMB > 0 {
+			p.notFull = append(p.notFull, n)
+		}
 		p.total = p.total.Add(n.worker.Capacity)
 	}
 	return pools
@@ -222,6 +227,7 @@
 			if !s.spec.LongRunning {
 				g.rank = g.rank.WithLateness(submitted, wall, remainingPath)
 			}
+			s.rank = g.rank
 			groups = append(groups, g)
 		}
 	}
--- a/internal/resource/vector.go
+++ b/internal/resource/vector.go
@@ -44,6 +44,11 @@
 	return Vector{max(v.MilliCores, w.MilliCores), max(v.MemoryMB, w.MemoryMB), max(v.Accelerators, w.Accelerators)}
 }
 
+// Min returns the smaller of v and w in each dimension.
+func (v Vector) Min(w Vector) Vector {
+	return Vector{min(v.MilliCores, w.MilliCores), min(v.MemoryMB, w.MemoryMB), min(v.Accelerators, w.Accelerators)}
+}
+
 // IsZero reports whether every dimension is zero.
 func (v Vector) IsZero() bool { return v == Vector{} }
 
