feat(cell): preempt runs of lower priority with checkpoints for wide work

Cause: reserved workers become empty only when the last of their runs ends.

Change: when all capacity that a wide step has reserved can be free within the time of a stop, runs of lower priority that save their progress are stopped. Their jobs must have time for the delay, and a task is preempted twice at most.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -74,6 +74,7 @@
 	restarts       int           // times that a slow run was restarted elsewhere
 	copyWanted     bool          // a speculative copy is requested
 	lastDetachedAt time.Duration
+	preemptions    int
 }
 
 func (t *task) ref() work.TaskRef {
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -67,6 +67,24 @@
 	for _, slot := range slots {
 		o.addReservation(s, nodes[slot.Worker], slot, demand, now)
 	}
+	if s.reservationsDue(now+o.Bounds.StopTimeout) && o.hasTickets(s, now+o.Bounds.StopTimeout) {
+		for _, r := range s.reservations {
+			o.preempt(r, now)
+		}
+	}
+}
+
+// reservationsDue reports whether all reserved capacity can be free by the given time.
+func (s *step) reservationsDue(by time.Duration) bool {
+	return !slices.ContainsFunc(s.reservations, func(r *reservation) bool { return r.at > by })
+}
+
+// hasTickets reports whether the step will have tickets for all reserved workers at the
+// given time, or needs none.
+func (o *Owner) hasTickets(s *step, at time.Duration) bool {
+	return s.job.queue.Advice == nil || !slices.ContainsFunc(s.reservations, func(r *reservation) bool {
+		return !s.advice.hasTicket(r.node, at)
+	})
 }
 
 // reservable returns the workers that may run the step and are not reserved for work of
@@ -89,15 +107,20 @@
 			continue
 		}
 		nodes = append(nodes, n)
-		workers = append(workers, sched.BusyWorker{Free: n.free(), Releases: o.releases(n, now), MaxTasks: n.maxTasks(s)})
+		workers = append(workers, sched.BusyWorker{Free: n.free(), Releases: o.releases(s, n, now), MaxTasks: n.maxTasks(s)})
 	}
 	return nodes, workers
 }
 
-// releases returns when the runs of a worker are expected to end.
-func (o *Owner) releases(n *node, now time.Duration) (list []sched.Release) {
+// releases returns when the runs of a worker are expected to end, or can end if they are
+// stopped for the step.
+func (o *Owner) releases(s *step, n *node, now time.Duration) (list []sched.Release) {
 	for _, r := range sortedRuns(n) {
-		if end, ok := o.expectedEnd(r, now); ok {
+		end, ok := o.expectedEnd(r, now)
+		if stopped := now + o.Bounds.StopTimeout; (!ok || end > stopped) && o.preemptible(r, s) {
+			end, ok = stopped, true
+		}
+		if ok {
 			list = append(list, sched.Release{At: end, Amount: r.demand})
 		}
 	}
