feat(cell): log why a step waits while it waits

A job that waited 30 s left no line until it ended. Event 1116 gives the reason, the workers known and allowed, reservations and lateness when the reason changes: at most one line a second for each step, and 50 a second for all.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -86,7 +86,7 @@
 	for _, c := range queried {
 		c.node.promised = c.node.promised.Add(c.promise)
 	}
-	request := work.AdviceRequest{Step: work.TaskRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.number}.StepName(), Workers: names}
+	request := work.AdviceRequest{Step: s.name(), Workers: names}
 	a.queryInFlight = true
 	o.queriesInFlight[policy.Decide]++
 	o.Counters.AdviceQueries++
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -55,6 +55,7 @@
 	remainingPath  time.Duration // longest chain of estimated work from this step on
 	waitReason     WaitReason    // why tasks of the step wait
 	waitSince      time.Duration // since when for this reason
+	waitLoggedAt   time.Duration // when the reason was last logged, or when the step began to wait
 }
 
 // task is one task of a step in one occurrence.
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -125,6 +125,8 @@
 	runTimeRatios      runningMeans          // measured run time over the estimate, by queue
 	allowedFractions   runningMeans          // fraction of the queried workers that the adviser allows, by queue
 	ownershipLost      bool
+	waitLogsSince      time.Duration // start of the interval in which waitLogs lines were written
+	waitLogs           int
 }
 
 // Counters count the actions of the owner for the metrics.
--- a/internal/cell/wait.go
+++ b/internal/cell/wait.go
@@ -4,6 +4,9 @@
 	"time"
 
 	"github.com/rs/zerolog"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/work"
 )
 
 // WaitReason is why a step waits although it could run.
@@ -54,6 +57,52 @@
 		o.OnStepWaited(s.job.spec.Queue, s.waitReason, d)
 	}
 	s.waitReason, s.waitSince = reason, now
+	o.logWait(s, now)
+}
+
+const (
+	// waitLogInterval is the minimum interval between two log lines on the waiting of one
+	// step. Steps that start sooner are not logged.
+	waitLogInterval = time.Second
+	// maxWaitLogs bounds these lines of all steps in one waitLogInterval.
+	maxWaitLogs = 50
+)
+
+// logWait logs why a step waits when the reason changes.
+func (o *Owner) logWait(s *step, now time.Duration) {
+	if s.waitReason == ReasonNone || s.job.finished() {
+		s.waitLoggedAt = 0
+		return
+	}
+	if s.waitLoggedAt == 0 {
+		s.waitLoggedAt = now
+		return
+	}
+	if now-s.waitLoggedAt < waitLogInterval {
+		return
+	}
+	if now-o.waitLogsSince >= waitLogInterval {
+		o.waitLogsSince, o.waitLogs = now, 0
+	}
+	if o.waitLogs++; o.waitLogs > maxWaitLogs {
+		return
+	}
+	s.waitLoggedAt = now
+	allowed := 0
+	for _, good := range s.advice.allowed {
+		if good {
+			allowed++
+		}
+	}
+	event.CellStepWaits.Log(o.Log).Str("step", s.name()).Str("queue", s.job.spec.Queue).Str("reason", s.waitReason.String()).
+		Int("tasks", len(s.tasks)-s.tasksDone-s.tasksRunning).Dur("age", o.WallClock()-s.runnableSince()).
+		Int("known", len(s.advice.allowed)).Int("allowed", allowed).Int("reserved", len(s.reservations)).
+		Bool("late", s.rank.Late).Bool("expired", s.rank.Expired).Bool("over-rate", s.rank.OverRate).Send()
+}
+
+// name returns the name of the step, such as "5c0e7a21d94b36f8.0.1".
+func (s *step) name() string {
+	return work.TaskRef{Job: s.job.spec.ID, Occurrence: s.occurrence, Step: s.number}.StepName()
 }
 
 // reasonOnceAssigned returns the reason of a step whose tasks have all been assigned:
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -76,6 +76,7 @@
 	CellJobAbandoned       = define(1113, zerolog.WarnLevel, "job failed permanently after repeated failed runs")
 	CellRecordFailed       = define(1114, zerolog.ErrorLevel, "progress record of a job cannot be encoded")
 	CellRecordRefused      = define(1115, zerolog.WarnLevel, "progress records of jobs not written")
+	CellStepWaits          = define(1116, zerolog.InfoLevel, "step waits")
 	CellStart              = define(1120, zerolog.InfoLevel, "run start requested")
 	CellStartRefused       = define(1121, zerolog.InfoLevel, "run start rejected by the worker")
 	CellStartUnknown       = define(1122, zerolog.WarnLevel, "run start not answered, outcome unknown")
