--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -19,7 +19,7 @@
 	switch {
 	case !p.mayFit(demand):
 		reason = ReasonCapacity
-	case !o.withinMaximum(s, 1):
+	case !o.withinMaximum(s, 1) || !o.teamAdmits(g, 1):
 		reason = ReasonLimit
 	case !p.admits(g, demand):
 		reason = ReasonReserve
@@ -139,7 +139,7 @@
 	assigned := 0
 	for _, t := range g.tasks {
 		switch {
-		case !o.withinMaximum(s, 1):
+		case !o.withinMaximum(s, 1) || !o.teamAdmits(g, 1):
 			return ReasonLimit
 		case !p.admits(g, t.demand()):
 			return ReasonReserve
@@ -201,6 +201,29 @@
 		!exceeds(used.Accelerators, team.Maximum.Accelerators)
 }
 
+// teamReserveFraction is the fraction of its maximum that a team's work with ample time
+// leaves free for the team's urgent work.
+const teamReserveFraction = 0.2
+
+// teamAdmits reports whether count more tasks of the group leave enough of the team's
+// maximum for its urgent work.
+func (o *Owner) teamAdmits(g *group, count int) bool {
+	s := g.step
+	team, ok := o.Tables().Teams[s.job.spec.Team]
+	if !ok || g.rank.Priority <= 0 {
+		return true
+	}
+	const unlimited = 1 << 40
+	total := team.Maximum
+	for _, amount := range []*int64{&total.MilliCores, &total.MemoryMB} {
+		if *amount == 0 {
+			*amount = unlimited
+		}
+	}
+	free := total.Sub(o.usage[team.Name]).Sub(o.unresolvedByTeam[team.Name])
+	return sched.Reserve{Fraction: teamReserveFraction}.Admits(free, total, s.spec.Demand.Scale(int64(count)), g.slack, g.timeBudget)
+}
+
 // assignGang starts either all tasks of a gang, with one run number, or none. It
 // returns why they wait.
 func (o *Owner) assignGang(g *group, p *pool, now time.Duration) (reason WaitReason) {
@@ -208,7 +231,7 @@
 	switch {
 	case len(g.tasks) < len(s.tasks)-s.tasksDone:
 		return ReasonRetry
-	case !o.withinMaximum(s, len(g.tasks)):
+	case !o.withinMaximum(s, len(g.tasks)) || !o.teamAdmits(g, len(g.tasks)):
 		return ReasonLimit
 	case !p.admits(g, g.tasks[0].demand().Scale(int64(len(g.tasks)))):
 		return ReasonReserve
