feat(host): share the adviser by rank, and keep light queries off busy hosts

Cause: each host's queries are processed one after the other. Heavy queries were counted for each fixed cost by itself, so that up to three waited behind each other on a host, out of the order of their rank; right after a takeover the owner knows no other host, and light queries waited up to 0.9 s behind its own heavy ones.

Change: a host is free for a heavy query if none is in flight through it; light queries use any host without a heavy one; a sixth of the hosts instead of a third is kept for light queries; an owner that knows no other host sends no heavy queries in its first second. The adviser of the simulated cell now processes queries in turn, at their cost.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -75,7 +75,7 @@
 	switch {
 	case a.queryInFlight:
 		return ReasonAdvice
-	case now < a.retryAt || o.queriesInFlight[policy.Decide] >= o.MaxAdviceCalls(policy.Decide):
+	case now < a.retryAt || !o.AdviserFree(policy.Decide):
 		return ReasonAdviser
 	}
 	queried, names, incarnations := o.queryCandidates(s, p, waiting, now)
@@ -88,11 +88,9 @@
 	}
 	request := work.AdviceRequest{Step: s.name(), Workers: names}
 	a.queryInFlight = true
-	o.queriesInFlight[policy.Decide]++
 	o.Counters.AdviceQueries++
 	o.Advise(request, cost, func(response work.AdviceResponse, err error) {
 		a.queryInFlight = false
-		o.queriesInFlight[policy.Decide]--
 		for _, c := range queried {
 			c.node.promised = c.node.promised.Sub(c.promise)
 		}
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -19,7 +19,7 @@
 	s.tables.Queues[0].Advice = &work.Advice{Decide: 40 * time.Millisecond, Valid: 2 * time.Second}
 	s.tables.Queues[0].Stretch = 1000 // no job is late
 	s.claim()
-	s.owner.MaxAdviceCalls = func(time.Duration) int { return 40 }
+	s.adviser.hosts = 40
 	for i := range jobs {
 		s.submit(fmt.Sprintf("j%03d", i), newStep(each, 400*time.Millisecond))
 	}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -58,8 +58,9 @@
 	Epoch  int64
 	Log    zerolog.Logger
 	Bounds Bounds
-	// MaxAdviceCalls bounds the placement queries in flight that have the given cost.
-	MaxAdviceCalls func(cost time.Duration) int
+	// AdviserFree reports whether a placement query with the given fixed cost would be
+	// processed soon. Queries that are not sent yet can be sent in the order of their rank.
+	AdviserFree func(cost time.Duration) bool
 	// Now reads a monotonic clock that also advances while the host is suspended.
 	Now func() time.Duration
 	// WallClock returns the time of day as the time since 1970.
@@ -120,10 +121,9 @@
 	sweep              int // number of the current sweep: one or more passes over all waiting steps
 	nextScan           time.Duration
 	nextDelete         time.Duration
-	queueTables        *work.Tables          // from which the jobs took their queues
-	queriesInFlight    map[time.Duration]int // placement queries in flight, by the fixed part of their cost
-	runTimeRatios      runningMeans          // measured run time over the estimate, by queue
-	allowedFractions   runningMeans          // fraction of the queried workers that the adviser allows, by queue
+	queueTables        *work.Tables // from which the jobs took their queues
+	runTimeRatios      runningMeans // measured run time over the estimate, by queue
+	allowedFractions   runningMeans // fraction of the queried workers that the adviser allows, by queue
 	ownershipLost      bool
 	waitLogsSince      time.Duration // start of the interval in which waitLogs lines were written
 	waitLogs           int
@@ -151,7 +151,6 @@
 		dirty:            map[*job]bool{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
-		queriesInFlight:  map[time.Duration]int{},
 		sweep:            1, // a new step has 0: not yet checked
 	}
 }
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"turmericspread.org/turmericspread/internal/resource"
@@ -37,6 +38,7 @@
 	replacedWorkers int           // workers that are gone for good
 	freshProcess    bool          // owners are processes that have just started
 	processor       processor     // of the owners
+	adviser         simAdviser
 	// loseResponse and delayRequest are the probabilities of these faults per request.
 	loseResponse, delayRequest float64
 }
@@ -106,6 +108,7 @@
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, jobs: map[string]*simJob{},
 		store:     simStore{records: map[string]simRecord{}, lastFailure: -time.Hour},
 		ackedDone: map[string]bool{}, ackedFailures: map[string]int{},
+		adviser: simAdviser{hosts: 4, maxPending: 40 * time.Millisecond, allowedFraction: 2.0 / 3, validity: time.Second},
 	}
 	s.tables = &work.Tables{
 		Version: 1,
@@ -209,7 +212,7 @@
 	o.SinceStoreFailure = func() time.Duration { return s.now - max(s.store.lastFailure, processStart) }
 	o.StoreFailedRecently = func() bool { return s.now-s.store.lastFailure < storeFailureMemory }
 	o.Bounds.StoreGrace = 2500 * time.Millisecond
-	o.MaxAdviceCalls = func(time.Duration) int { return 4 }
+	o.AdviserFree = func(time.Duration) bool { return s.adviser.free(s.now) }
 	o.OnOwnershipLost = func(reason string) { s.tracef("epoch %d lost ownership: %s", o.Epoch, reason) }
 	o.Start = func(w work.Worker, request work.StartRequest, done func(work.RunResponse, error)) {
 		simRequest(o, w, func(sw *simWorker) (work.RunResponse, error) { return sw.start(request) }, done)
@@ -401,18 +404,58 @@
 	})
 }
 
-// sendAdvise allows two of three workers to run a step.
+// simAdviser processes the queries of each host one after the other.
+type simAdviser struct {
+	hosts           int
+	maxPending      time.Duration   // processing time of a host's queries from which it takes no more
+	busyUntil       []time.Duration // by host
+	allowedFraction float64         // of the workers, for each step
+	validity        time.Duration   // of a ticket
+	queries         int
+	named           int // workers in all queries
+	withoutAllowed  int // queries without an allowed worker
+	cost            time.Duration
+}
+
+// leastBusy returns the host that is free first.
+func (a *simAdviser) leastBusy() (best int) {
+	for len(a.busyUntil) < a.hosts {
+		a.busyUntil = append(a.busyUntil, 0)
+	}
+	for i, until := range a.busyUntil {
+		if until < a.busyUntil[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// free reports whether a host takes another query.
+func (a *simAdviser) free(now time.Duration) bool {
+	return a.busyUntil[a.leastBusy()] < now+a.maxPending
+}
+
+// allows reports whether the worker may run the step. This does not change.
+func (a *simAdviser) allows(step, worker string) bool {
+	return float64(xxhash.Sum64String(step+" "+worker)%1000) < 1000*a.allowedFraction
+}
+
+// sendAdvise answers a query when its host has processed the earlier ones.
 func (o *simOwner) sendAdvise(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
-	s := o.sim
-	s.after(cost+simLatency, func() {
-		response := work.AdviceResponse{Valid: time.Second}
-		for i, id := range request.Workers {
-			if (i+len(request.Step))%3 != 0 {
-				response.Good = append(response.Good, work.Ticket{Worker: id, Ticket: "ticket"})
-			}
+	s, a := o.sim, &o.sim.adviser
+	response := work.AdviceResponse{Valid: a.validity}
+	for _, id := range request.Workers {
+		if a.allows(request.Step, id) {
+			response.Good = append(response.Good, work.Ticket{Worker: id, Ticket: "ticket"})
 		}
-		o.call(func() { done(response, nil) })
-	})
+	}
+	a.queries, a.named, a.cost = a.queries+1, a.named+len(request.Workers), a.cost+cost
+	if len(response.Good) == 0 {
+		a.withoutAllowed++
+	}
+	host := a.leastBusy()
+	a.busyUntil[host] = max(a.busyUntil[host], s.now) + cost
+	s.after(a.busyUntil[host]-s.now+simLatency, func() { o.call(func() { done(response, nil) }) })
 }
 
 // sendSaveProgress writes a batch of records if the ownership row is unchanged.
--- a/internal/host/adviser.go
+++ b/internal/host/adviser.go
@@ -29,19 +29,32 @@
 // lightHostsDivisor defines the fraction of the hosts, 1/lightHostsDivisor,
 // that is reserved for light queries. Behind heavy ones they would wait for
 // seconds.
-const lightHostsDivisor = 3
+const lightHostsDivisor = 6
 
 // eligibleHosts returns the hosts that may send a query of the given cost.
-// Light queries use the first hosts, and heavy ones the rest.
+// Heavy queries use the hosts that are not reserved for light ones.
 func eligibleHosts(addresses []string, cost time.Duration) []string {
-	light := (len(addresses) + lightHostsDivisor - 1) / lightHostsDivisor
-	switch {
-	case len(addresses) <= 1:
+	if len(addresses) <= 1 || cost < heavyQueryCost {
 		return addresses
-	case cost < heavyQueryCost:
-		return addresses[:light]
 	}
-	return addresses[light:]
+	return addresses[(len(addresses)+lightHostsDivisor-1)/lightHostsDivisor:]
+}
+
+// maxLightPending is the expected processing time of the queries in flight from
+// which a host is busy for light queries. The owner sends waiting queries in the
+// order of their rank, whereas the adviser processes them in the order of arrival.
+const maxLightPending = 50 * time.Millisecond
+
+// hasFree reports whether one of the hosts would send a query of the given cost
+// soon. A host sends one heavy query at a time, and no light query behind it.
+func (a *adviceBalancer) hasFree(addresses []string, cost time.Duration) bool {
+	maxPending := maxLightPending
+	if cost >= heavyQueryCost {
+		maxPending = heavyQueryCost
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pending[a.leastLoaded(addresses)] < maxPending
 }
 
 // nextHostPenalty is added to a host's load for each host before it in the
@@ -49,11 +62,9 @@
 // use few connections.
 const nextHostPenalty = time.Millisecond
 
-// acquire returns the host with the lowest load and adds cost to its load. A
-// host in its cooldown is chosen only if all hosts are.
-func (a *adviceBalancer) acquire(addresses []string, cost time.Duration) (best string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+// leastLoaded returns the host with the lowest load. A host in its cooldown is
+// chosen only if all hosts are. The caller holds the lock.
+func (a *adviceBalancer) leastLoaded(addresses []string) (best string) {
 	var minLoad time.Duration
 	bestReady := false
 	now := time.Now()
@@ -64,10 +75,18 @@
 			best, minLoad, bestReady = address, load, ready
 		}
 	}
-	a.pending[best] += cost
 	return best
 }
 
+// acquire returns the host with the lowest load and adds cost to its load.
+func (a *adviceBalancer) acquire(addresses []string, cost time.Duration) (address string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	address = a.leastLoaded(addresses)
+	a.pending[address] += cost
+	return address
+}
+
 // release subtracts cost from the load of a host. If the query failed, it
 // starts the host's cooldown.
 func (a *adviceBalancer) release(address string, cost time.Duration, failed bool) {
@@ -81,10 +100,9 @@
 	}
 }
 
-// queryAdviser sends a query to the placement adviser, through the eligible
-// host with the lowest load.
-func (h *Host) queryAdviser(ctx context.Context, addresses []string, request work.AdviceRequest, cost time.Duration) (response work.AdviceResponse, err error) {
-	address := h.adviceBalancer.acquire(eligibleHosts(addresses, cost), cost)
+// queryAdviser sends a query to the placement adviser through the given host,
+// which was acquired for it.
+func (h *Host) queryAdviser(ctx context.Context, address string, request work.AdviceRequest, cost time.Duration) (response work.AdviceResponse, err error) {
 	defer func() { h.adviceBalancer.release(address, cost, err != nil) }()
 	if address == h.PeerAddress {
 		return h.Targets.Advise(ctx, request)
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -22,12 +22,13 @@
 	o.Tables = h.Tables
 	o.StoreUp, o.SinceStoreFailure = h.storeUp, h.sinceStoreFailure
 	o.StoreFailedRecently = func() bool { return time.Since(h.store.LastFailure()) < storeFailureMemory }
-	o.MaxAdviceCalls = func(cost time.Duration) int {
+	owned := time.Now()
+	o.AdviserFree = func(cost time.Duration) bool {
 		hosts := h.adviserHosts()
-		if cost < heavyQueryCost {
-			return maxLightQueriesPerHost * len(eligibleHosts(hosts, cost))
+		if len(hosts) == 1 && cost >= heavyQueryCost && time.Since(owned) < soleHostSpan {
+			return false
 		}
-		return maxHeavyQueriesPerHost * len(eligibleHosts(hosts, cost))
+		return h.adviceBalancer.hasFree(eligibleHosts(hosts, cost), cost)
 	}
 	o.OnOwnershipLost = func(reason string) {
 		if h.cellOwner == o {
@@ -37,9 +38,9 @@
 	o.OnStepStarted, o.OnJobEnded, o.OnStepWaited = h.observeStart, h.observeJob, h.observeWait
 	h.connectWorkers(ctx, o)
 	o.Advise = func(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
-		addresses := h.adviserHosts()
+		address := h.adviceBalancer.acquire(eligibleHosts(h.adviserHosts(), cost), cost)
 		callInBackground(h, ctx, adviceTimeout, done, func(ctx context.Context) (work.AdviceResponse, error) {
-			return h.queryAdviser(ctx, addresses, request, cost)
+			return h.queryAdviser(ctx, address, request, cost)
 		})
 	}
 	o.SaveProgress = func(b []cell.ProgressWrite, done func([]cell.SaveResult)) { h.saveProgress(ctx, revision, b, done) }
@@ -56,11 +57,10 @@
 	// adviceTimeout bounds a query to the adviser, including the time it waits
 	// behind other queries.
 	adviceTimeout = 3 * time.Second
-	// maxLightQueriesPerHost and maxHeavyQueriesPerHost bound the queries in
-	// flight per host. The owner sends waiting queries in the order of their
-	// priority, whereas the adviser processes them in the order of arrival.
-	maxLightQueriesPerHost = 4
-	maxHeavyQueriesPerHost = 1
+	// soleHostSpan is the time after a takeover in which a host that knows no
+	// other sends no heavy queries. The others are usually known after a
+	// heartbeat, and meanwhile the light queries would wait behind a heavy one.
+	soleHostSpan = time.Second
 )
 
 // callInBackground makes a call on another goroutine and passes its result to
