feat(logstory): name jobs that did not end, and divide the age of late ones

It now also counts jobs after three times their budget, names those not ended and never started, and divides the age of late jobs into first start, next step, spread of starts, median run, slowest run and completion, which add up to it.

--- a/internal/logstory/waits.go
+++ b/internal/logstory/waits.go
@@ -19,6 +19,13 @@
 	Late   int                      // of these, after their time budget
 	Age    time.Duration            // of the late jobs, from submission to completion
 	Waited map[string]time.Duration // of the late jobs, by reason
+	// Useless counts the completed jobs that took more than three times their budget.
+	Useless int
+	// Unfinished and NeverStarted name the jobs that the log does not show as ended, and
+	// those of them that were never started.
+	Unfinished, NeverStarted []string
+	Runs                     RunTimes // of the late jobs whose lines are complete
+	Divided                  int      // number of these jobs
 }
 
 // Reasons returns the reasons for waiting, longest total time first.
@@ -43,43 +50,87 @@
 		fmt.Fprintf(&b, ", %s %.1f s", reason, q.Waited[reason].Seconds())
 	}
 	fmt.Fprintf(&b, ", running and other %.1f s", remaining.Seconds())
+	if q.Useless > 0 {
+		fmt.Fprintf(&b, "; %d after three times their budget", q.Useless)
+	}
+	if q.Divided > 0 {
+		fmt.Fprintf(&b, "; age of %d by part: %v", q.Divided, q.Runs)
+	}
+	if len(q.Unfinished) > 0 {
+		fmt.Fprintf(&b, "; %d not ended: %s", len(q.Unfinished), strings.Join(q.Unfinished, " "))
+	}
+	if len(q.NeverStarted) > 0 {
+		fmt.Fprintf(&b, "; %d never started: %s", len(q.NeverStarted), strings.Join(q.NeverStarted, " "))
+	}
 	return b.String()
 }
 
+// uselessFactor is the multiple of its time budget after which the result of a job is
+// useless to its caller.
+const uselessFactor = 3
+
 // LateJobs sums up, by queue, what the jobs waited for that were completed after
-// their time budget. Queues with the most late jobs come first.
+// their time budget, and names the jobs that did not end. Queues with the most late jobs
+// come first.
 func LateJobs(r io.Reader) (list []*QueueWaits, err error) {
 	defer Error.WrapP(&err)
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, maxLineBytes), maxLineBytes)
 	queues := map[string]*QueueWaits{}
-	for scanner.Scan() {
-		line, ok := parse(scanner.Bytes())
-		if !ok || line.event != event.CellJobEnded.Number || line.fields["state"] != "completed" {
-			continue
-		}
-		name, _ := line.fields["queue"].(string)
+	queue := func(name string) *QueueWaits {
 		q := queues[name]
 		if q == nil {
 			q = &QueueWaits{Queue: name, Waited: map[string]time.Duration{}}
 			queues[name] = q
 			list = append(list, q)
 		}
-		q.add(&line)
+		return q
+	}
+	jobs := timelines{}
+	for scanner.Scan() {
+		line, ok := parse(scanner.Bytes())
+		if !ok {
+			continue
+		}
+		jobs.record(&line)
+		if line.event == event.CellJobEnded.Number && line.fields["state"] == "completed" {
+			name, _ := line.fields["queue"].(string)
+			id, _ := line.fields["job"].(string)
+			queue(name).add(&line, jobs.of(id))
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(jobs)) {
+		j := jobs[id]
+		if j.ended || j.accepted.IsZero() {
+			continue
+		}
+		q := queue(j.queue)
+		q.Unfinished = append(q.Unfinished, id)
+		if !j.started {
+			q.NeverStarted = append(q.NeverStarted, id)
+		}
 	}
 	slices.SortStableFunc(list, func(a, b *QueueWaits) int { return b.Late - a.Late })
 	return list, scanner.Err()
 }
 
 // add counts a completed job. Only late jobs add to the times.
-func (q *QueueWaits) add(line *Line) {
+func (q *QueueWaits) add(line *Line, times *jobTimes) {
 	q.Jobs++
 	age := line.millis("age")
-	if budget := line.millis("allowed"); budget == 0 || age <= budget {
+	budget := line.millis("allowed")
+	if budget == 0 || age <= budget {
 		return
 	}
 	q.Late++
 	q.Age += age
+	if age > uselessFactor*budget {
+		q.Useless++
+	}
+	if runs, ok := times.split(age, line.time); ok {
+		q.Divided++
+		q.Runs.add(runs)
+	}
 	for reason, d := range line.waited() {
 		q.Waited[reason] += d
 	}
