fix(cell): spare runs whose jobs preemption would make late

Cause: the check whether a delay makes a job late kept the mark that it is started, and started work never counts as late, so it had no effect; and it counted the whole step as remaining.

--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -8,11 +8,9 @@
 	"turmericspread.org/turmericspread/internal/resource"
 )
 
-const (
-	// maxPreemptions is how often a task may be preempted. Each preemption costs the task
-	// a restart.
-	maxPreemptions = 2
-)
+// maxPreemptions is how often a task may be preempted. Each preemption costs the task a
+// restart.
+const maxPreemptions = 2
 
 // preemptible reports whether a run may be stopped to free its capacity for the step. It
 // has to be of a lower priority and to keep its progress, and its job must have so much
@@ -27,13 +25,17 @@
 	case victim.queue.Priority <= s.rank.Priority || t.preemptions >= maxPreemptions || len(t.runs) > 1:
 		return false
 	}
-	delay := o.Bounds.StopTimeout + o.expectedRunTime(s)
+	end, ok := o.expectedEnd(r, o.Now())
+	if !ok {
+		return false
+	}
+	remaining := end - o.Now() + t.step.remainingPath - spec.Estimate
 	submitted := max(victim.spec.Accepted, victim.spec.Due(t.step.occurrence))
 	rank := o.rank(t.step)
-	now := rank.WithLateness(submitted, o.WallClock(), t.step.remainingPath)
-	delayed := rank.WithLateness(submitted, o.WallClock()+delay, t.step.remainingPath)
-	now.Started, delayed.Started = false, false
-	return now == delayed
+	rank.Started = false // work that is started would never count as late
+	wall := o.WallClock()
+	delay := o.Bounds.StopTimeout + o.expectedRunTime(s)
+	return rank.WithLateness(submitted, wall, remaining) == rank.WithLateness(submitted, wall+delay, remaining)
 }
 
 // preempt stops runs of lower priority on a reserved worker, as few as free the reserved
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"turmericspread.org/turmericspread/internal/resource"
@@ -38,6 +39,7 @@
 	demand    resource.Vector
 	startedAt time.Duration
 	duration  time.Duration // 0 if it never ends
+	saves     bool          // a stop saves its progress
 }
 
 // percent returns the progress of the run.
@@ -137,6 +139,13 @@
 	if w.stalls {
 		return
 	}
+	if r.saves = step.Checkpointing; r.saves && request.Checkpoint != "" {
+		saved, err := strconv.Atoi(request.Checkpoint)
+		if err != nil {
+			s.fatalf("%s: checkpoint %q: %v", name, request.Checkpoint, err)
+		}
+		runTime = runTime * time.Duration(percentTotal-saved) / percentTotal
+	}
 	r.duration = runTime
 	s.after(runTime, func() {
 		if w.worker.Born == incarnation && w.runs[name] == r {
@@ -150,7 +159,11 @@
 	delete(w.runs, name)
 	w.highestEnded[name] = max(w.highestEnded[name], r.run)
 	w.lastSequence++
-	w.ends = append(w.ends, work.RunResult{Sequence: w.lastSequence, Task: r.ref, Run: r.run, Reason: reason})
+	end := work.RunResult{Sequence: w.lastSequence, Task: r.ref, Run: r.run, Reason: reason}
+	if r.saves && reason == work.EndStopped {
+		end.Checkpoint = strconv.Itoa(r.percent(w.sim.now))
+	}
+	w.ends = append(w.ends, end)
 	w.sim.tracef("%s ends %s run %d as %s", w.worker.ID, name, r.run, reason)
 	waiters := w.waiters
 	w.waiters = nil
