fix(cell): log a wait for one reason too, and test bad answers of the adviser

Cause: event 1116 was written only when the reason changed, so a step that waited 30 s for one reason left no line. Found by TestWaitsAreLogged, which failed with no line.

--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -1,10 +1,13 @@
 package cell
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
 	"turmericspread.org/turmericspread/internal/resource"
@@ -34,6 +37,111 @@
 	}
 }
 
+// TestBadAdviceLosesNothing has the adviser answer badly for a while: the job waits with
+// its reason, is started once the answers are good, and ends.
+func TestBadAdviceLosesNothing(t *testing.T) {
+	good := func(request work.AdviceRequest) (list []work.Ticket) {
+		for _, id := range request.Workers {
+			list = append(list, work.Ticket{Worker: id, Ticket: "ticket"})
+		}
+		return list
+	}
+	const delay = 3 * time.Second
+	tests := []struct {
+		name   string
+		answer func(request work.AdviceRequest) (work.AdviceResponse, error)
+	}{
+		{"no worker is allowed", func(work.AdviceRequest) (work.AdviceResponse, error) {
+			return work.AdviceResponse{Valid: time.Second}, nil
+		}},
+		{"unknown workers", func(work.AdviceRequest) (work.AdviceResponse, error) {
+			return work.AdviceResponse{Valid: time.Second, Good: []work.Ticket{{Worker: "nobody", Ticket: "x"}, {}}}, nil
+		}},
+		{"tickets without validity", func(request work.AdviceRequest) (work.AdviceResponse, error) {
+			return work.AdviceResponse{Valid: -time.Second, Good: good(request)}, nil
+		}},
+		{"too many queries or a malformed answer", func(work.AdviceRequest) (work.AdviceResponse, error) {
+			return work.AdviceResponse{}, errLost
+		}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSim(t, 1, 4)
+			s.tables.Queues[0].Advice = &work.Advice{Decide: 20 * time.Millisecond, Valid: time.Second}
+			s.claim()
+			recovered := false
+			s.owner.Advise = func(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
+				s.after(cost, func() {
+					response, err := work.AdviceResponse{Valid: time.Second, Good: good(request)}, error(nil)
+					if !recovered {
+						response, err = tc.answer(request)
+					}
+					s.owner.call(func() { done(response, err) })
+				})
+			}
+			s.submit("a", newStep(2, 500*time.Millisecond))
+			s.run(delay)
+			j := s.owner.jobs["a"]
+			assert.Assert(t, !j.started)
+			assert.Assert(t, j.steps[0].waitReason != ReasonNone)
+			// What the adviser has said of a step does not change, so another owner asks anew.
+			recovered = true
+			next := s.owner.Advise
+			s.owner.killed = true
+			s.claim()
+			s.owner.Advise = next
+			s.run(delay + 10*time.Second)
+			s.assertState("a", work.StateCompleted)
+		})
+	}
+}
+
+// TestLateAdviceIsNotUsed delays an answer until its tickets have expired.
+func TestLateAdviceIsNotUsed(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.tables.Queues[0].Advice = &work.Advice{Decide: 20 * time.Millisecond, Valid: time.Second}
+	s.claim()
+	queries := 0
+	s.owner.Advise = func(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
+		queries++
+		if queries == 1 {
+			cost += 2 * time.Second
+		}
+		s.after(cost, func() {
+			s.owner.call(func() {
+				done(work.AdviceResponse{Valid: time.Second, Good: []work.Ticket{{Worker: request.Workers[0], Ticket: "ticket"}}}, nil)
+			})
+		})
+	}
+	s.submit("a", newStep(1, 500*time.Millisecond))
+	s.run(2 * time.Second)
+	assert.Assert(t, !s.owner.jobs["a"].started)
+	s.run(10 * time.Second)
+	s.assertState("a", work.StateCompleted)
+	assert.Assert(t, queries > 1, "the tickets of the first answer had expired")
+}
+
+// TestWaitsAreLogged checks that a step that waits leaves lines, and that a long backlog
+// writes only a few.
+func TestWaitsAreLogged(t *testing.T) {
+	const jobs, waited = 500, 10 * time.Second
+	var logged bytes.Buffer
+	s := newSim(t, 1, 2)
+	s.claim()
+	s.owner.Log = zerolog.New(&logged)
+	s.submit("filler", newStep(8, time.Hour))
+	s.run(500 * time.Millisecond)
+	for i := range jobs {
+		s.submit(fmt.Sprintf("j%03d", i), newStep(1, time.Second))
+	}
+	s.run(s.now + waited)
+	lines := strings.Count(logged.String(), `"event":1116`)
+	t.Logf("%d lines", lines)
+	assert.Assert(t, lines > 0)
+	assert.Assert(t, lines <= maxWaitLogs*int(waited/waitLogInterval), "%d lines", lines)
+	assert.Assert(t, strings.Contains(logged.String(), `"reason":"room"`), logged.String())
+}
+
 // TestTicketValidityCountsFromTheQuery delays a response in transit: its tickets are
 // not used after they have expired at the workers.
 func TestTicketValidityCountsFromTheQuery(t *testing.T) {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -55,7 +55,8 @@
 	remainingPath  time.Duration // longest chain of estimated work from this step on
 	waitReason     WaitReason    // why tasks of the step wait
 	waitSince      time.Duration // since when for this reason
-	waitLoggedAt   time.Duration // when the reason was last logged, or when the step began to wait
+	waitLoggedAt   time.Duration // when a reason was last logged, or when the step began to wait
+	waitLogged     bool          // the present reason was logged
 }
 
 // task is one task of a step in one occurrence.
--- a/internal/cell/wait.go
+++ b/internal/cell/wait.go
@@ -48,37 +48,30 @@
 
 // setWaitReason records that the step waits for another reason from now on.
 func (o *Owner) setWaitReason(s *step, reason WaitReason, now time.Duration) {
-	if s.waitReason == reason {
-		return
-	}
-	if s.waitReason != ReasonNone {
-		d := now - s.waitSince
-		s.job.waitTimes[s.waitReason] += d
-		o.OnStepWaited(s.job.spec.Queue, s.waitReason, d)
+	if s.waitReason != reason {
+		if s.waitReason == ReasonNone {
+			s.waitLoggedAt = now
+		} else {
+			d := now - s.waitSince
+			s.job.waitTimes[s.waitReason] += d
+			o.OnStepWaited(s.job.spec.Queue, s.waitReason, d)
+		}
+		s.waitReason, s.waitSince, s.waitLogged = reason, now, false
 	}
-	s.waitReason, s.waitSince = reason, now
 	o.logWait(s, now)
 }
 
 const (
 	// waitLogInterval is the minimum interval between two log lines on the waiting of one
-	// step. Steps that start sooner are not logged.
+	// step, and the time that it waits before the first one.
 	waitLogInterval = time.Second
 	// maxWaitLogs bounds these lines of all steps in one waitLogInterval.
 	maxWaitLogs = 50
 )
 
-// logWait logs why a step waits when the reason changes.
+// logWait logs why a step waits, once for each reason.
 func (o *Owner) logWait(s *step, now time.Duration) {
-	if s.waitReason == ReasonNone || s.job.finished() {
-		s.waitLoggedAt = 0
-		return
-	}
-	if s.waitLoggedAt == 0 {
-		s.waitLoggedAt = now
-		return
-	}
-	if now-s.waitLoggedAt < waitLogInterval {
+	if s.waitReason == ReasonNone || s.waitLogged || now-s.waitLoggedAt < waitLogInterval {
 		return
 	}
 	if now-o.waitLogsSince >= waitLogInterval {
@@ -87,16 +80,10 @@
 	if o.waitLogs++; o.waitLogs > maxWaitLogs {
 		return
 	}
-	s.waitLoggedAt = now
-	allowed := 0
-	for _, good := range s.advice.allowed {
-		if good {
-			allowed++
-		}
-	}
+	s.waitLogged, s.waitLoggedAt = true, now
 	event.CellStepWaits.Log(o.Log).Str("step", s.name()).Str("queue", s.job.spec.Queue).Str("reason", s.waitReason.String()).
 		Int("tasks", len(s.tasks)-s.tasksDone-s.tasksRunning).Dur("age", o.WallClock()-s.runnableSince()).
-		Int("known", len(s.advice.allowed)).Int("allowed", allowed).Int("reserved", len(s.reservations)).
+		Int("known", len(s.advice.allowed)).Int("allowed", len(s.advice.ticketedWorkers)).Int("reserved", len(s.reservations)).
 		Bool("late", s.rank.Late).Bool("expired", s.rank.Expired).Bool("over-rate", s.rank.OverRate).Send()
 }
 
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -55,6 +55,19 @@
 	}
 }
 
+// TestChooseKeepsAcceleratorsTogether checks that a narrow task takes one of the few free
+// accelerators of a worker, even if another worker has less processor time free.
+func TestChooseKeepsAcceleratorsTogether(t *testing.T) {
+	worker := func(free, accelerators int64) Candidate {
+		c := Candidate{Free: cores(free), MaxTasks: 9}
+		c.Free.Accelerators = accelerators
+		return c
+	}
+	narrow := cores(1)
+	narrow.Accelerators = 1
+	assert.Equal(t, Choose([]Candidate{worker(2, 8), worker(9, 1)}, narrow), 1)
+}
+
 func TestChooseAll(t *testing.T) {
 	candidates := []Candidate{
 		{Free: cores(4), Rack: "a", MaxTasks: 9},
