feat(cell): keep the reserve only in pools with urgent work

Cause: 12 % of the accelerators' pool was kept free for work of the highest priority, which no queue sends there; narrow jobs of the lowest priority waited for it.

Change: a pool has a reserve only if a queue of the highest priority uses it.

--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -25,6 +25,7 @@
 	free    resource.Vector
 	total   resource.Vector
 	maxFree resource.Vector // largest free capacity of any worker, per resource
+	urgent  bool            // a queue of the highest priority uses the pool
 }
 
 // mayFit reports whether some worker may have free capacity for demand. It keeps
@@ -150,6 +151,16 @@
 	return teams
 }
 
+// markUrgent marks the pools that queues of the highest priority use.
+func (o *Owner) markUrgent(pools map[string]*pool) {
+	for i := range o.Tables().Queues {
+		q := &o.Tables().Queues[i]
+		if p := pools[q.Service]; p != nil && q.Priority <= 0 {
+			p.urgent = true
+		}
+	}
+}
+
 // usablePools returns the pools of workers that may be given work, by name. While
 // the store is unavailable, work starts without a record, so workers that are not in
 // the stored directory are left out: a successor would not query them.
@@ -173,12 +184,13 @@
 		}
 		p.total = p.total.Add(n.worker.Capacity)
 	}
+	o.markUrgent(pools)
 	return pools
 }
 
 // admits reports whether the group may take demand of the free capacity now.
 func (p *pool) admits(g *group, demand resource.Vector) bool {
-	if g.rank.Priority <= 0 {
+	if g.rank.Priority <= 0 || !p.urgent {
 		return true
 	}
 	return sched.Reserve{Fraction: reserveFraction}.Admits(p.free, p.total, demand, g.slack, g.timeBudget)
