--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -74,6 +74,8 @@
 	gauge("runs_failed_total", counters.RunsFailed)
 	gauge("runs_ended_otherwise_total", counters.RunsEndedOtherwise)
 	gauge("runs_lost_total", counters.RunsLost)
+	gauge("runs_preempted_total", counters.Preempted)
+	gauge("stragglers_total", counters.Stragglers)
 	gauge("record_writes_total", counters.ProgressWrites)
 	gauge("record_writes_failed_total", counters.ProgressWritesFailed)
 	gauge("passes_total", counters.Passes)
