fix(cell): bound the cost of reservations, and release them while the adviser fails

Found by reading the diff: - each pass chose the workers anew for each wide step, among all workers of a pool: now at most every 50 ms, among at most 100; - a step that waits for a failing adviser kept capacity that it could not use; - capacity freed after a reservation was made counted twice as spare for lower ranks; - a team's reserve could make a gang wait that needs most of an idle team's maximum.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -19,6 +19,7 @@
 	ticketedWorkers []string      // workers that were ever given a ticket, sorted
 	ticketsUntil    time.Duration // when the last ticket expires
 	queryInFlight   bool
+	failed          bool // the last query failed
 	retryAt         time.Duration
 }
 
@@ -95,6 +96,7 @@
 			c.node.promised = c.node.promised.Sub(c.promise)
 		}
 		o.passDue = true
+		a.failed = err != nil
 		if err != nil {
 			o.Counters.AdviceQueriesFailed++
 			a.retryAt = o.Now() + queryRetryInterval
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -220,7 +220,11 @@
 			*amount = unlimited
 		}
 	}
-	free := total.Sub(o.usage[team.Name]).Sub(o.unresolvedByTeam[team.Name])
+	used := o.usage[team.Name].Add(o.unresolvedByTeam[team.Name])
+	if total.Fits(used.Scale(2)) {
+		return true // a gang may need most of the maximum, and must not wait for an idle team
+	}
+	free := total.Sub(used)
 	return sched.Reserve{Fraction: teamReserveFraction}.Admits(free, total, s.spec.Demand.Scale(int64(count)), g.slack, g.timeBudget)
 }
 
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -49,6 +49,7 @@
 	advice         advice
 	rank           sched.Rank // in the last scheduling pass
 	reservations   []*reservation
+	reservedAt     time.Duration // when the workers for reservations were last chosen
 	startedAt      time.Duration // when the first start was sent
 	lastTaskDoneAt time.Duration // time of day at which a task was last done
 	sweep          int           // last sweep in which the step was checked
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -17,7 +17,7 @@
 	node   *node
 	demand resource.Vector // of all tasks for which it is made
 	tasks  int64
-	freed  resource.Vector // expected to become free by at
+	spare  resource.Vector // expected to be free beyond demand at the time at
 	at     time.Duration
 	madeAt time.Duration
 }
@@ -28,6 +28,12 @@
 	wideFraction = 0.5
 	// maxReservedFraction bounds the workers of a pool that are reserved at a time.
 	maxReservedFraction = 0.5
+	// maxReservable bounds the workers that are considered for the reservations of a step.
+	// The expected end of each of their runs is estimated.
+	maxReservable = 100
+	// reservationInterval is the minimum interval between two choices of the workers for a
+	// step. Passes are more frequent than runs end.
+	reservationInterval = 50 * time.Millisecond
 	// reservationValidity is how long a reservation lasts if its step is not checked again.
 	reservationValidity = 500 * time.Millisecond
 	// minRemaining is the remaining run time that is expected of a run that has
@@ -49,14 +55,19 @@
 }
 
 // reserve keeps the capacity that is free first for the waiting tasks of a wide step. It
-// replaces earlier reservations of the step.
+// replaces earlier reservations of the step. While the adviser does not answer, the step
+// could not use the capacity, and others may.
 func (o *Owner) reserve(g *group, p *pool, now time.Duration) {
 	s := g.step
+	if now < s.reservedAt+reservationInterval && !s.advice.failed {
+		return
+	}
 	o.dropReservations(s)
 	waiting := len(s.tasks) - s.tasksDone - s.tasksRunning
-	if waiting <= 0 || !g.wide(p) {
+	if waiting <= 0 || s.advice.failed || !g.wide(p) {
 		return
 	}
+	s.reservedAt = now
 	nodes, workers := o.reservable(g, p, now)
 	demand := s.tasks[0].demand()
 	count := waiting
@@ -98,14 +109,17 @@
 	if s.job.queue.Advice != nil {
 		list = o.allowedWorkers(s, now)
 	}
-	o.Counters.CandidatesChecked += int64(len(list))
 	for _, n := range list {
+		if len(nodes) >= maxReservable {
+			break
+		}
 		if !o.mayRun(s, n) || n.maxTasks(s) <= 0 {
 			continue
 		}
 		if slices.ContainsFunc(n.reservations, func(r *reservation) bool { return sched.Compare(r.step.rank, s.rank) < 0 }) {
 			continue
 		}
+		o.Counters.CandidatesChecked++
 		nodes = append(nodes, n)
 		workers = append(workers, sched.BusyWorker{Free: n.free(), Releases: o.releases(s, n, now), MaxTasks: n.maxTasks(s)})
 	}
@@ -158,12 +172,12 @@
 func (o *Owner) addReservation(s *step, n *node, slot sched.Slot, demand resource.Vector, now time.Duration) {
 	for _, r := range n.reservations {
 		if r.step == s {
-			r.demand, r.tasks = r.demand.Add(demand), r.tasks+1
-			r.at, r.freed = max(r.at, slot.At), slot.Freed
+			r.demand, r.tasks, r.at = r.demand.Add(demand), r.tasks+1, max(r.at, slot.At)
+			r.spare = n.free().Add(slot.Freed).Sub(r.demand)
 			return
 		}
 	}
-	r := &reservation{step: s, node: n, demand: demand, tasks: 1, freed: slot.Freed, at: slot.At, madeAt: now}
+	r := &reservation{step: s, node: n, demand: demand, tasks: 1, spare: n.free().Add(slot.Freed).Sub(demand), at: slot.At, madeAt: now}
 	n.reservations = append(n.reservations, r)
 	s.reservations = append(s.reservations, r)
 }
@@ -205,17 +219,30 @@
 func (o *Owner) freeFor(s *step, n *node, now time.Duration) (free resource.Vector) {
 	free = n.free()
 	for _, r := range n.reservations {
-		if r.step == s || sched.Compare(r.step.rank, s.rank) >= 0 {
-			continue
-		}
-		if !s.spec.LongRunning && now+o.expectedRunTime(s) <= r.at {
-			continue
+		if r.step != s && sched.Compare(r.step.rank, s.rank) < 0 && !o.endsBefore(s, r, now) {
+			free = free.Min(r.spare)
 		}
-		free = free.Min(n.free().Add(r.freed).Sub(r.demand))
 	}
 	return free
 }
 
+// endsBefore reports whether a task of the step that starts now is expected to end before
+// the reserved capacity is needed.
+func (o *Owner) endsBefore(s *step, r *reservation, now time.Duration) bool {
+	return !s.spec.LongRunning && now+o.expectedRunTime(s) <= r.at
+}
+
+// takeSpare counts a run that was assigned to a worker against what its reservations
+// leave to others.
+func (o *Owner) takeSpare(r *run) {
+	s := r.task.step
+	for _, reserved := range r.node.reservations {
+		if reserved.step != s && !o.endsBefore(s, reserved, o.Now()) {
+			reserved.spare = reserved.spare.Sub(r.demand)
+		}
+	}
+}
+
 // reservedTasks returns for how many tasks of the step a worker is reserved that has
 // their capacity within the given time.
 func (s *step) reservedTasks(n *node, until time.Duration) (tasks int64) {
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -82,6 +82,7 @@
 	r.task.lastRun = max(r.task.lastRun, r.number)
 	r.node.runs[runKey{r.task, r.number}] = r
 	r.node.used = r.node.used.Add(r.demand)
+	o.takeSpare(r)
 	team := r.task.step.job.spec.Team
 	o.usage[team] = o.usage[team].Add(spec.Demand)
 }
