--- a/internal/logstory/runs.go
+++ b/internal/logstory/runs.go
@@ -1,7 +1,6 @@
 package logstory
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -128,7 +127,7 @@
 			wait = &times.FirstStart
 		}
 		*wait += s.firstStart.Sub(at)
-		slices.SortFunc(s.runs, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+		slices.Sort(s.runs)
 		median, spread := s.runs[len(s.runs)/2], s.lastStart.Sub(s.firstStart)
 		times.Spread, times.Median = times.Spread+spread, times.Median+median
 		times.Slowest += s.end.Sub(s.firstStart) - spread - median
