fix(cell): treat an unlimited number of accelerators as unlimited in a team's reserve

A team without a maximum of accelerators counted as using more than half of it, so that a gang that needs most of its cores could wait for the reserve.

--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -206,7 +206,8 @@
 const teamReserveFraction = 0.2
 
 // teamAdmits reports whether count more tasks of the group leave enough of the team's
-// maximum for its urgent work.
+// maximum for its urgent work. It is for jobs with ample time that would fill the maximum
+// while short urgent jobs of the same team wait for seconds.
 func (o *Owner) teamAdmits(g *group, count int) bool {
 	s := g.step
 	team, ok := o.Tables().Teams[s.job.spec.Team]
@@ -215,7 +216,7 @@
 	}
 	const unlimited = 1 << 40
 	total := team.Maximum
-	for _, amount := range []*int64{&total.MilliCores, &total.MemoryMB} {
+	for _, amount := range []*int64{&total.MilliCores, &total.MemoryMB, &total.Accelerators} {
 		if *amount == 0 {
 			*amount = unlimited
 		}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -47,17 +47,17 @@
 	copiesWanted   int     // tasks that wait for a speculative copy
 	failedRuns     []int64 // failed runs of the whole gang
 	advice         advice
-	rank           sched.Rank // in the last scheduling pass
-	reservations   []*reservation
-	reservedAt     time.Duration // when the workers for reservations were last chosen
-	startedAt      time.Duration // when the first start was sent
-	lastTaskDoneAt time.Duration // time of day at which a task was last done
-	sweep          int           // last sweep in which the step was checked
-	remainingPath  time.Duration // longest chain of estimated work from this step on
-	waitReason     WaitReason    // why tasks of the step wait
-	waitSince      time.Duration // since when for this reason
-	waitLoggedAt   time.Duration // when a reason was last logged, or when the step began to wait
-	waitLogged     bool          // the present reason was logged
+	rank           sched.Rank     // in the last scheduling pass
+	reservations   []*reservation // capacity kept for its tasks
+	reservedAt     time.Duration  // when the workers for reservations were last chosen
+	startedAt      time.Duration  // when the first start was sent
+	lastTaskDoneAt time.Duration  // time of day at which a task was last done
+	sweep          int            // last sweep in which the step was checked
+	remainingPath  time.Duration  // longest chain of estimated work from this step on
+	waitReason     WaitReason     // why tasks of the step wait
+	waitSince      time.Duration  // since when for this reason
+	waitLoggedAt   time.Duration  // when a reason was last logged, or when the step began to wait
+	waitLogged     bool           // the present reason was logged
 }
 
 // task is one task of a step in one occurrence.
@@ -77,7 +77,7 @@
 	restarts       int           // times that a slow run was restarted elsewhere
 	copyWanted     bool          // a speculative copy is requested
 	lastDetachedAt time.Duration
-	preemptions    int
+	preemptions    int // times that a run was stopped for work of a higher priority
 }
 
 func (t *task) ref() work.TaskRef {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -25,7 +25,7 @@
 	runs            map[runKey]*run
 	used            resource.Vector
 	promised        resource.Vector // capacity to which placement queries in flight refer
-	reservations    []*reservation
+	reservations    []*reservation  // capacity kept for steps that need most of the worker
 
 	// State of the worker's current incarnation.
 	incarnation    int64
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -126,7 +126,7 @@
 	allowedFractions   runningMeans // fraction of the queried workers that the adviser allows, by queue
 	ownershipLost      bool
 	waitLogsSince      time.Duration // start of the interval in which waitLogs lines were written
-	waitLogs           int
+	waitLogs           int           // lines on waiting steps in this interval
 }
 
 // Counters count the actions of the owner for the metrics.
