--- a/internal/cell/wide_test.go
+++ b/internal/cell/wide_test.go
@@ -234,6 +234,21 @@
 	assert.Assert(t, s.owner.jobs["gang"].started, "a gang that needs most of an idle team's maximum waits")
 }
 
+// TestNoReserveWithoutUrgentWork has jobs with ample time fill a pool that no queue of the
+// highest priority uses: nothing is kept free for such a queue.
+func TestNoReserveWithoutUrgentWork(t *testing.T) {
+	s := newWideSim(t, 1)
+	s.tables.Queues[1].Advice, s.tables.Queues[1].Stretch = nil, 100
+	s.claim()
+	s.run(time.Second)
+	const tasks = wideWorkers * accelerators
+	step := narrowStep(tasks, 10*time.Second)
+	step.Demand.MilliCores = 32000 / accelerators
+	s.submitTo("narrow", "team", "narrow", step)
+	s.run(2 * time.Second)
+	assert.Equal(t, s.owner.jobs["narrow"].steps[0].tasksRunning, tasks)
+}
+
 // TestNoReservationsWhileTheAdviserFails has a step wait for an adviser that no longer
 // answers: work that needs no advice uses the capacity.
 func TestNoReservationsWhileTheAdviserFails(t *testing.T) {
