--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -165,3 +166,77 @@
 	b.rec.say("state %s; runs that ended failed: %d; attempts of the queue: %d", state, failures, attempts)
 	return state == "failed" && failures < attempts, nil
 }
+
+// rebornKind has a minion crash and start again under its id as another kind, while
+// tasks wait for the kind that it had.
+func rebornKind(b *bench) (broken bool, err error) {
+	const id, label, tasks, takes = "3fd20c8815ab97e4", "b", 120, 1500 * time.Millisecond
+	b.fleet.work = func(string, int64) outcome { return outcome{takes, "done"} }
+	step := map[string]any{"count": tasks, "cpu": 4000, "memMb": 1024, "estimateMs": takes.Milliseconds(), "constraints": label}
+	if err := b.submit(id, step); err != nil {
+		return false, err
+	}
+	const together = 16 // on two minions of 32 cores
+	if err := b.waitRunning(together, 10*time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	if b.trouble {
+		m := b.fleet.minions[len(b.fleet.minions)-1]
+		b.rec.say("%s crashes, and starts again 2 s later as kind a", m.id)
+		m.crash()
+		time.Sleep(2 * time.Second)
+		if err := m.begin("a"); err != nil {
+			return false, err
+		}
+	}
+	state := b.waitState(id, 50*time.Second)
+	wrong := 0
+	for _, r := range b.fleet.snapshot() {
+		if !slices.Contains(r.labels, label) {
+			wrong++
+			b.rec.line("ROUTE: %s run %d began on %s, which has the labels %v", r.task, r.run, r.minion, r.labels)
+		}
+	}
+	b.rec.say("state %s; starts on minions without the label %s: %d", state, label, wrong)
+	return wrong > 0, nil
+}
+
+// acceptedAtRemoval removes a queue from the configuration and hands in jobs meanwhile.
+// A host that still has the former version accepts some of them; these have to run.
+func acceptedAtRemoval(b *bench) (broken bool, err error) {
+	b.fleet.work = func(string, int64) outcome { return outcome{time.Second, "done"} }
+	if b.trouble {
+		b.rec.say("operator: version 2 removes the queue")
+		b.store.put("op/config", config(2, false))
+	}
+	body, err := json.Marshal(map[string]any{
+		"spec": "work", "steps": []any{map[string]any{"count": 2, "cpu": 1000, "memMb": 512, "estimateMs": 1000}},
+	})
+	if err != nil {
+		return false, err
+	}
+	var accepted []string
+	for i := range 45 {
+		id := fmt.Sprintf("%016x", 0x51d3f00a7b2c+i)
+		if status, _ := b.system.call(b.system.hosts[i%len(b.system.hosts)], http.MethodPost, queueHost, prefix+id, key, body); status == http.StatusOK {
+			accepted = append(accepted, id)
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	const finish = 14 * time.Second
+	time.Sleep(finish + 3*time.Second)
+	began := map[string]bool{}
+	for _, r := range b.fleet.snapshot() {
+		began[strings.SplitN(r.task, ".", 2)[0]] = true
+	}
+	never := 0
+	for _, id := range accepted {
+		if !began[id] {
+			never++
+			b.rec.line("LOST: %s was accepted and has not begun", id)
+		}
+	}
+	b.rec.say("%d jobs accepted, %d of them have not begun after %v", len(accepted), never, finish+3*time.Second)
+	return never > 0, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,10 +40,15 @@
 	fleet   *fleet
 	system  *system
 	trouble bool
+	kinds   []string // of the minions
 }
 
 func play(root, dir, name string) int {
-	play, ok := map[string]func(*bench) (bool, error){"many-ends": manyEnds, "removed-queue": removedQueue}[name]
+	cases := map[string]func(*bench) (bool, error){
+		"many-ends": manyEnds, "removed-queue": removedQueue, "reborn-kind": rebornKind,
+		"accepted-at-removal": acceptedAtRemoval,
+	}
+	play, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
 		return exitCannotRun
@@ -59,7 +64,10 @@
 		return exitCannotRun
 	}
 	defer func() { _ = os.RemoveAll(temp) }()
-	b := &bench{rec: rec, fleet: &fleet{rec: rec}, trouble: os.Getenv("TROUBLE") != "0"}
+	b := &bench{rec: rec, fleet: &fleet{rec: rec}, trouble: os.Getenv("TROUBLE") != "0", kinds: []string{"a", "a", "a", "b"}}
+	if name == "reborn-kind" {
+		b.kinds = []string{"a", "a", "b", "b"}
+	}
 	rec.say("case %s, disruption %v", name, b.trouble)
 	defer func() {
 		if b.system != nil {
@@ -139,7 +147,7 @@
 		return err
 	}
 	b.store.put("op/config", config(1, true))
-	for i, kind := range []string{"a", "a", "a", "b"} {
+	for i, kind := range b.kinds {
 		id, rack := fmt.Sprintf("i-%010x", 0x2d1c00+i), fmt.Sprintf("r%d-0", i%2)
 		if err := b.fleet.startMinion(b.store, ips[hosts], id, service, "boyolali", kind, rack); err != nil {
 			return err
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -25,6 +25,7 @@
 // startedRun is the history of one run, for the judgement.
 type startedRun struct {
 	minion, task string
+	labels       []string // of the minion at the start
 	run          int64
 	spec         string
 	takes        time.Duration
@@ -64,11 +65,18 @@
 // does not check its room (admissionCheck = false).
 type minion struct {
 	fleet   *fleet
+	store   *store
 	id      string
 	address string
-	born    time.Time
+	service string
+	zone    string
+	rack    string
 
 	// The fields below are guarded by fleet.mu.
+	server   *http.Server // nil: the minion is down
+	kind     string
+	born     time.Time
+	seq      int64
 	fence    int64
 	deadline time.Duration // of the lease, on the minion's clock
 	running  map[runKey]*startedRun
@@ -78,27 +86,74 @@
 	changed  chan struct{}
 }
 
+// heartbeatInterval is the interval between two writes of a minion's entry.
+const heartbeatInterval = 1500 * time.Millisecond
+
 // startMinion starts a minion and registers it in the store.
 func (f *fleet) startMinion(s *store, ip, id, service, zone, kind, rack string) (err error) {
-	m := &minion{
-		fleet: f, id: id, born: time.Now(), running: map[runKey]*startedRun{}, highest: map[string]int64{}, changed: make(chan struct{}),
+	m := &minion{fleet: f, store: s, id: id, address: ip + ":0", service: service, zone: zone, rack: rack}
+	f.minions = append(f.minions, m)
+	if err := m.begin(kind); err != nil {
+		return err
 	}
-	listener, err := net.Listen("tcp", ip+":0")
+	go m.expireLease()
+	go func() {
+		for range time.Tick(heartbeatInterval) {
+			m.register()
+		}
+	}()
+	return nil
+}
+
+// begin starts an incarnation of the minion, which knows nothing of the ones before.
+func (m *minion) begin(kind string) error {
+	listener, err := net.Listen("tcp", m.address)
 	if err != nil {
 		return err
 	}
+	m.fleet.mu.Lock()
 	m.address = listener.Addr().String()
-	go func() { _ = http.Serve(listener, m) }()
-	go m.expireLease()
-	f.minions = append(f.minions, m)
-	s.put("servers/"+id, map[string]any{
-		"service": service, "address": m.address, "zone": zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-		"seq": 1, "capacity": map[string]any{"cpu": 32000, "memMb": 65536, "gpu": 0}, "labels": []string{kind, rack},
-		"born": m.born.UnixMilli(),
-	})
+	m.server = &http.Server{Handler: m}
+	m.kind, m.born = kind, time.Now()
+	m.fence, m.deadline, m.sequence, m.seq = 0, 0, 0, 0
+	m.running, m.ended, m.highest, m.changed = map[runKey]*startedRun{}, nil, map[string]int64{}, make(chan struct{})
+	server := m.server
+	m.fleet.mu.Unlock()
+	m.fleet.rec.line("%s: starts at %s, kind %s", m.id, m.address, kind)
+	m.register()
+	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
+// crash ends the incarnation with everything that runs.
+func (m *minion) crash() {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	for key, r := range m.running {
+		delete(m.running, key)
+		r.how, r.ended = "lost", time.Now()
+	}
+	_ = m.server.Close()
+	m.server = nil
+	m.fleet.rec.line("%s: crashes", m.id)
+}
+
+// register writes the minion's entry in the store.
+func (m *minion) register() {
+	m.fleet.mu.Lock()
+	up := m.server != nil
+	m.seq++
+	entry := map[string]any{
+		"service": m.service, "address": m.address, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
+		"seq": m.seq, "capacity": map[string]any{"cpu": 32000, "memMb": 65536, "gpu": 0}, "labels": []string{m.kind, m.rack},
+		"born": m.born.UnixMilli(),
+	}
+	m.fleet.mu.Unlock()
+	if up {
+		m.store.put("servers/"+m.id, entry)
+	}
+}
+
 func (m *minion) clock() time.Duration { return time.Since(m.born) }
 
 // expireLease kills everything when the lease has expired.
@@ -204,10 +259,10 @@
 	if in.Run <= m.highest[in.Task] {
 		return "old"
 	}
-	r := &startedRun{minion: m.id, task: in.Task, run: in.Run, spec: in.Spec, began: time.Now()}
+	r := &startedRun{minion: m.id, labels: []string{m.kind, m.rack}, task: in.Task, run: in.Run, spec: in.Spec, began: time.Now()}
 	m.running[key] = r
 	m.fleet.runs = append(m.fleet.runs, r)
-	m.fleet.rec.line("%s: %s run %d started, fence %d", m.id, in.Task, in.Run, in.Fence)
+	m.fleet.rec.line("%s (kind %s): %s run %d started, fence %d", m.id, m.kind, in.Task, in.Run, in.Fence)
 	result := m.fleet.work(in.Task, in.Run)
 	r.takes = result.takes
 	time.AfterFunc(result.takes, func() {
