--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # build line of deploy/system.toml. It needs only the standard library.
 set -e
 cd "$(dirname "$0")"
-go build -trimpath -o ../target/review-cases ./standin
+go build -trimpath -buildvcs=false -o ../target/review-cases ./standin
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -117,13 +117,13 @@
 // config returns a configuration with the given version, with or without the queue.
 func config(version int, withQueue bool) any {
 	routes := []any{map[string]any{
-		"name": "other", "host": queueHost, "pathPrefix": "/other/", "service": service, "priority": 2, "attempts": attempts,
-		"stretch": 2, "targetLatencyMs": 1000, "timeoutMs": 3000,
+		"name": "other", "host": queueHost, names.Prefix: "/other/", "service": service, "priority": 2, "attempts": attempts,
+		"stretch": 2, names.Latency: 1000, "timeoutMs": 3000,
 	}}
 	if withQueue {
 		routes = append(routes, map[string]any{
-			"name": "lunas", "host": queueHost, "pathPrefix": prefix, "service": service, "priority": 2, "attempts": attempts,
-			"stretch": 2, "targetLatencyMs": 1000, "timeoutMs": 3000,
+			"name": "lunas", "host": queueHost, names.Prefix: prefix, "service": service, "priority": 2, "attempts": attempts,
+			"stretch": 2, names.Latency: 1000, "timeoutMs": 3000,
 		})
 	}
 	return map[string]any{
@@ -131,7 +131,7 @@
 		"services": []any{map[string]any{"name": service, "admissionCheck": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 30000},
 		"tenants": []any{map[string]any{
-			"name": "tenant-1", "apiKeys": []string{key}, "weight": 10, "maximum": map[string]any{"cpu": 0, "memMb": 0, "gpu": 0},
+			"name": "tenant-1", names.Keys: []string{key}, "weight": 10, "maximum": map[string]any{"cpu": 0, names.Memory: 0, "gpu": 0},
 		}},
 	}
 }
