review: case 4, no process can take over a store that has grown for six hours

Cause: ended jobs are deleted at most eight a second, and a new owner builds every stored job in memory. Change: a script on the stand-ins, whose store keeps its keys sorted now.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -46,7 +46,7 @@
 func play(root, dir, name string) int {
 	cases := map[string]func(*bench) (bool, error){
 		"many-ends": manyEnds, "removed-queue": removedQueue, "reborn-kind": rebornKind,
-		"accepted-at-removal": acceptedAtRemoval,
+		"accepted-at-removal": acceptedAtRemoval, "grown": grown,
 	}
 	play, ok := cases[name]
 	if !ok {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -43,6 +43,7 @@
 	revision int64
 	oldest   int64 // watches from before this revision get 410
 	items    map[string]item
+	keys     []string // of items, sorted
 	history  []item
 	changed  chan struct{} // closed and replaced at each write
 	up       chan struct{} // closed when an outage ends; nil: the store is up
@@ -90,10 +91,26 @@
 	if it.Created == 0 {
 		it.Created = s.revision
 	}
-	s.items[key] = it
+	s.insert(it)
 	s.record(it)
 }
 
+// insert stores an item. The caller holds the lock.
+func (s *store) insert(it item) {
+	if at, found := slices.BinarySearch(s.keys, it.Key); !found {
+		s.keys = slices.Insert(s.keys, at, it.Key)
+	}
+	s.items[it.Key] = it
+}
+
+// remove removes a key. The caller holds the lock.
+func (s *store) remove(key string) {
+	if at, found := slices.BinarySearch(s.keys, key); found {
+		s.keys = slices.Delete(s.keys, at, at+1)
+	}
+	delete(s.items, key)
+}
+
 func (s *store) record(it item) {
 	s.history = append(s.history, it)
 	for len(s.history) > 0 && time.Since(s.history[0].at) > storeHistory {
@@ -174,15 +191,15 @@
 
 func (s *store) list(w http.ResponseWriter, prefix, after string) {
 	s.mu.Lock()
-	var keys []string
-	for key := range s.items {
-		if strings.HasPrefix(key, prefix) && key > after {
-			keys = append(keys, key)
-		}
+	from, found := slices.BinarySearch(s.keys, max(prefix, after))
+	if found && after >= prefix {
+		from++
 	}
-	slices.Sort(keys)
 	items, size, more := []item{}, 0, false
-	for _, key := range keys {
+	for _, key := range s.keys[from:] {
+		if !strings.HasPrefix(key, prefix) {
+			break
+		}
 		it := s.items[key]
 		if len(items) > 0 && (len(items) >= storePageItems || size+len(it.Value) > storePageBytes) {
 			more = true
@@ -267,7 +284,7 @@
 		}
 		for _, key := range in.Remove {
 			if _, ok := s.items[key]; ok {
-				delete(s.items, key)
+				s.remove(key)
 				s.record(item{Key: key, Revision: s.revision, Removed: true, at: time.Now()})
 			}
 		}
