fix: keep the policy of a job whose queue is removed

Callers saw an accepted job shown as failed after one of three attempts, and waiting tasks that were never started: the operators removed its queue, then all processes were restarted. Jobs accepted by a host that still had the former version were never started either, without any restart.

Cause: the owner kept the last known policy of a queue (service, attempts, priority, time budget, advice) in memory only. A successor took it from the tables, which lack the queue, and had the zero value. It abandons a job at its first failure and finds no worker.

Change: the accepting host stores the policy with the job, the owner stores a later change with the progress. Tables go before the stored policy. A job without any policy waits for its queue. Related: a removed team keeps its last known maximum.

Records are read by the former version: the new fields are optional keys of maps.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -72,7 +72,7 @@
 // be allowed are left out. It returns what the step waits for.
 func (o *Owner) queryAdvice(s *step, p *pool, waiting int, now time.Duration) (reason WaitReason) {
 	a := &s.advice
-	policy := s.job.queue.Advice
+	policy := s.job.policy.Advice
 	switch {
 	case a.queryInFlight:
 		return ReasonAdvice
@@ -137,14 +137,14 @@
 // unless enough workers are known. Without it a step that waits for a whole worker would
 // have to query about each worker that becomes free, and would lose it meanwhile.
 func (o *Owner) learnAllowed(s *step, p *pool, now time.Duration) {
-	if s.job.queue.Advice != nil && s.mayLearn(p) {
+	if s.job.policy.Advice != nil && s.mayLearn(p) {
 		o.queryAdvice(s, p, len(s.tasks)-s.tasksDone-s.tasksRunning, now)
 	}
 }
 
 // mayLearn reports whether queries about workers without free capacity are worthwhile.
 func (s *step) mayLearn(p *pool) bool {
-	return len(s.advice.allowed) < min(len(p.nodes), maxBusyWorkers(s.job.queue.Advice))
+	return len(s.advice.allowed) < min(len(p.nodes), maxBusyWorkers(s.job.policy.Advice))
 }
 
 // queryScope returns the workers that a query for the step may name. In a full pool with
@@ -218,7 +218,7 @@
 			continue
 		}
 		free := o.freeFor(s, n, now).Sub(n.promised)
-		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.queue.Advice.Decide)), int64(n.maxTasks(s))), 0)
+		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.policy.Advice.Decide)), int64(n.maxTasks(s))), 0)
 		if fits > 0 || !known {
 			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free})
 		}
@@ -229,7 +229,7 @@
 		expectedFraction = max(r.mean, minAllowedFraction)
 	}
 	incarnations = map[string]int64{}
-	busyLeft := maxBusyWorkers(s.job.queue.Advice)
+	busyLeft := maxBusyWorkers(s.job.policy.Advice)
 	var covered float64
 	for _, c := range list {
 		if len(names) >= maxQueryWorkers || len(names) >= minQueryWorkers && covered >= candidateSurplus*float64(waiting) {
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -50,7 +50,7 @@
 // candidates returns the workers that may run the step's tasks.
 func (o *Owner) candidates(s *step, p *pool, now time.Duration) (candidates []sched.Candidate, usable []*node) {
 	nodes := p.nodes
-	if s.job.queue.Advice != nil {
+	if s.job.policy.Advice != nil {
 		// Only the workers with a ticket, which are few, are checked.
 		nodes = o.ticketHolders(s, p, now)
 	}
@@ -87,7 +87,7 @@
 func (o *Owner) allowedWorkers(s *step, now time.Duration) (nodes []*node) {
 	for _, id := range s.advice.ticketedWorkers {
 		n := o.nodes[id]
-		if n != nil && n.usable(now) && n.worker.Pool == s.job.queue.Service {
+		if n != nil && n.usable(now) && n.worker.Pool == s.job.policy.Service {
 			nodes = append(nodes, n)
 		}
 	}
@@ -157,7 +157,7 @@
 	switch {
 	case assigned == len(g.tasks):
 		return ReasonRecord
-	case s.job.queue.Advice != nil:
+	case s.job.policy.Advice != nil:
 		return o.queryAdvice(s, p, len(g.tasks)-assigned, now)
 	}
 	return ReasonCapacity
@@ -191,14 +191,11 @@
 
 // withinMaximum reports whether the team may run count more tasks of the step.
 func (o *Owner) withinMaximum(s *step, count int) bool {
-	team, ok := o.Tables().Teams[s.job.spec.Team]
-	if !ok {
-		return true
-	}
-	used := o.usage[team.Name].Add(o.unresolvedByTeam[team.Name]).Add(s.spec.Demand.Scale(int64(count)))
+	team, maximum := s.job.spec.Team, o.teamMaximum(s.job)
+	used := o.usage[team].Add(o.unresolvedByTeam[team]).Add(s.spec.Demand.Scale(int64(count)))
 	exceeds := func(used, maximum int64) bool { return maximum > 0 && used > maximum }
-	return !exceeds(used.MilliCores, team.Maximum.MilliCores) && !exceeds(used.MemoryMB, team.Maximum.MemoryMB) &&
-		!exceeds(used.Accelerators, team.Maximum.Accelerators)
+	return !exceeds(used.MilliCores, maximum.MilliCores) && !exceeds(used.MemoryMB, maximum.MemoryMB) &&
+		!exceeds(used.Accelerators, maximum.Accelerators)
 }
 
 // teamReserveFraction is the fraction of its maximum that a team's work with ample time
@@ -210,18 +207,17 @@
 // while short urgent jobs of the same team wait for seconds.
 func (o *Owner) teamAdmits(g *group, count int) bool {
 	s := g.step
-	team, ok := o.Tables().Teams[s.job.spec.Team]
-	if !ok || g.rank.Priority <= 0 {
+	if g.rank.Priority <= 0 {
 		return true
 	}
 	const unlimited = 1 << 40
-	total := team.Maximum
+	team, total := s.job.spec.Team, o.teamMaximum(s.job)
 	for _, amount := range []*int64{&total.MilliCores, &total.MemoryMB, &total.Accelerators} {
 		if *amount == 0 {
 			*amount = unlimited
 		}
 	}
-	used := o.usage[team.Name].Add(o.unresolvedByTeam[team.Name])
+	used := o.usage[team].Add(o.unresolvedByTeam[team])
 	if total.Fits(used.Scale(2)) {
 		return true // a gang may need most of the maximum, and must not wait for an idle team
 	}
@@ -244,7 +240,7 @@
 	candidates, usable := o.candidates(s, p, now)
 	picks := sched.ChooseAll(candidates, g.tasks[0].demand(), len(g.tasks), sched.GangPreference{SameRack: s.spec.RackSensitive})
 	if picks == nil {
-		if s.job.queue.Advice != nil {
+		if s.job.policy.Advice != nil {
 			return o.queryAdvice(s, p, len(g.tasks), now)
 		}
 		return ReasonCapacity
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -13,10 +13,10 @@
 // job is an accepted job with its tasks and the state of its progress record.
 type job struct {
 	spec      *work.Job
-	queue     work.Queue // last known policy; a route may be removed while its jobs run
-	steps     []*step    // of all occurrences
-	tasks     []*task    // by number
-	tasksLeft int        // tasks that are not done
+	policy    *work.Policy // last known policy; unknownPolicy if there is none
+	steps     []*step      // of all occurrences
+	tasks     []*task      // by number
+	tasksLeft int          // tasks that are not done
 	started   bool
 	cancelled bool
 	restored  bool // a former owner may have started its tasks
@@ -92,7 +92,7 @@
 // newJob builds a job with the steps and tasks of all its occurrences, without any
 // progress.
 func newJob(spec *work.Job) *job {
-	j := &job{spec: spec, criticalPath: criticalPathFrom(spec, -1)}
+	j := &job{spec: spec, policy: cmp.Or(spec.Policy, unknownPolicy), criticalPath: criticalPathFrom(spec, -1)}
 	for occurrence := range spec.Occurrences() {
 		offset := len(j.steps)
 		for i := range spec.Steps {
@@ -202,13 +202,11 @@
 }
 
 func (o *Owner) addJob(j *job) {
-	if q := o.Tables().Queue(j.spec.Queue); q != nil {
-		j.queue = *q
-	}
 	o.jobs[j.spec.ID] = j
 	if !j.finished() {
 		o.active = append(o.active, j)
 	}
+	o.applyPolicy(j)
 	o.passDue = true
 }
 
@@ -280,7 +278,6 @@
 // recordTaskFailure counts a failure and abandons the job if its attempts are used
 // up. An end that is listed again, for example to a new owner, is counted once.
 func (o *Owner) recordTaskFailure(t *task, number int64, worker string) {
-	j := t.step.job
 	failed := t.countedFailures()
 	if slices.Contains(*failed, number) {
 		return
@@ -291,13 +288,9 @@
 	}
 	t.avoidWorker(worker)
 	t.retryAt = o.Now() + retryDelay(len(*failed))
-	if t.step.spec.LongRunning || j.finished() || len(*failed) < max(j.queue.Attempts, 1) {
-		return
+	if !t.step.job.finished() && t.attemptsUsedUp() {
+		o.abandonJob(t, worker)
 	}
-	event.CellJobAbandoned.Log(o.Log).Str("job", j.spec.ID).Str("task", t.ref().String()).Int("failures", len(*failed)).
-		Str("worker", worker).Send()
-	o.stopJobRuns(j, "job given up")
-	o.endJob(j, work.StateFailed)
 }
 
 // retryDelay returns the backoff that keeps a task that fails immediately from
@@ -315,10 +308,8 @@
 func (o *Owner) scanJobs(now time.Duration) {
 	if tables := o.Tables(); tables != o.queueTables {
 		o.queueTables = tables
-		for _, j := range o.active {
-			if q := tables.Queue(j.spec.Queue); q != nil {
-				j.queue = *q
-			}
+		for _, j := range slices.Clone(o.active) {
+			o.applyPolicy(j)
 		}
 	}
 	o.passDue = true
@@ -408,6 +399,7 @@
 	j.cancelled, j.restored = st.Cancelled, true
 	if p := st.Progress; p != nil {
 		j.started = p.Started
+		j.policy = cmp.Or(p.Policy, j.policy)
 		j.state = p.State
 		j.endedAt = time.Duration(p.Ended) * time.Millisecond
 		for i := range p.Tasks {
--- a/internal/cell/overload_test.go
+++ b/internal/cell/overload_test.go
@@ -137,7 +137,7 @@
 			return
 		}
 		number++
-		job := &work.Job{ID: fmt.Sprintf("%s-%s-%d", queue, team, number), Team: team, Queue: queue, Steps: steps(), Accepted: s.now}
+		job := &work.Job{ID: fmt.Sprintf("%s-%s-%d", queue, team, number), Team: team, Queue: queue, Steps: steps(), Accepted: s.now, Policy: s.tables.Policy(queue, team, nil)}
 		s.jobs[job.ID] = &simJob{spec: job}
 		s.owner.call(func() { s.owner.Accept(job) })
 		s.after(time.Duration(s.rng.ExpFloat64()/rate()*float64(time.Second)), next)
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -22,7 +22,7 @@
 	switch {
 	case r.state != runLive || r.stopping || !spec.Checkpointing || spec.Gang || spec.LongRunning:
 		return false
-	case victim.queue.Priority <= s.rank.Priority || t.preemptions >= maxPreemptions || len(t.runs) > 1:
+	case victim.policy.Priority <= s.rank.Priority || t.preemptions >= maxPreemptions || len(t.runs) > 1:
 		return false
 	}
 	end, ok := o.expectedEnd(r, o.Now())
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -145,7 +145,7 @@
 
 // progress returns the progress record of a job.
 func (o *Owner) progress(j *job) *work.Progress {
-	p := &work.Progress{Started: j.started, Epoch: o.Epoch, Version: j.version}
+	p := &work.Progress{Started: j.started, Epoch: o.Epoch, Version: j.version, Policy: j.storedPolicy()}
 	if j.state.Terminal() {
 		p.State, p.Ended = j.state, j.endedAt.Milliseconds()
 	}
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -93,7 +93,7 @@
 // hasTickets reports whether the step will have tickets for all reserved workers at the
 // given time, or needs none.
 func (o *Owner) hasTickets(s *step, at time.Duration) bool {
-	return s.job.queue.Advice == nil || !slices.ContainsFunc(s.reservations, func(r *reservation) bool {
+	return s.job.policy.Advice == nil || !slices.ContainsFunc(s.reservations, func(r *reservation) bool {
 		return !s.advice.hasTicket(r.node, at)
 	})
 }
@@ -106,7 +106,7 @@
 		return nil, nil
 	}
 	list := p.nodes
-	if s.job.queue.Advice != nil {
+	if s.job.policy.Advice != nil {
 		list = o.allowedWorkers(s, now)
 	}
 	for _, n := range list {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		g.step.sweep = o.sweep
-		o.setWaitReason(g.step, o.assign(g, pools[g.step.job.queue.Service], now), now)
+		o.setWaitReason(g.step, o.assign(g, pools[g.step.job.policy.Service], now), now)
 		if checked++; checked%stepsPerClockRead == 0 && o.Now()-now > maxPassTime {
 			o.passDue = true // the next passes continue with the rest
 			return
@@ -253,7 +253,7 @@
 func (o *Owner) rank(s *step) sched.Rank {
 	j := s.job
 	rank := sched.Rank{
-		Priority: j.queue.Priority,
+		Priority: j.policy.Priority,
 		Started:  j.started && j.spec.Times == 0,
 		OverRate: j.overRate,
 		Deadline: o.deadline(j, s.occurrence),
@@ -267,7 +267,7 @@
 // deadline returns the time of day by which an occurrence of a job should end.
 func (o *Owner) deadline(j *job, occurrence int) time.Duration {
 	start := max(j.spec.Accepted, j.spec.Due(occurrence))
-	return start + j.queue.Target + time.Duration(float64(j.criticalPath)*max(j.queue.Stretch, 1))
+	return start + j.policy.Target + time.Duration(float64(j.criticalPath)*max(j.policy.Stretch, 1))
 }
 
 // criticalPathFrom returns the longest chain of estimated work through the steps of a
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -23,6 +23,7 @@
 	queue           eventQueue
 	serial          int
 	tables          *work.Tables
+	removedQueue    work.Queue // queue of the last version of the tables that had one
 	workers         map[string]*simWorker
 	jobs            map[string]*simJob
 	store           simStore
@@ -161,7 +162,7 @@
 
 // submit stores a job and passes it to the owner.
 func (s *sim) submit(id string, steps ...work.Step) {
-	job := &work.Job{ID: id, Team: "team", Queue: "q", Steps: steps, Accepted: s.now}
+	job := &work.Job{ID: id, Team: "team", Queue: "q", Steps: steps, Accepted: s.now, Policy: s.tables.Policy("q", "team", nil)}
 	s.jobs[id] = &simJob{spec: job}
 	if s.owner != nil {
 		s.owner.call(func() { s.owner.Accept(job) })
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -70,6 +70,9 @@
 	})
 }
 
+// firstRunFails is the payload of a job of which the first run of each task fails at its end.
+const firstRunFails = "first run fails"
+
 // start handles a start request.
 func (w *simWorker) start(request work.StartRequest) (work.RunResponse, error) {
 	name := request.Task.String()
@@ -105,7 +108,7 @@
 	if s.ackedDone[name] {
 		s.fatalf("%s is started again after its end as done was acknowledged", name)
 	}
-	if s.ackedFailures[name] >= s.tables.Queues[0].Attempts && !step.LongRunning {
+	if s.ackedFailures[name] >= s.attempts() && !step.LongRunning {
 		s.fatalf("%s is started after its attempts are used up", name)
 	}
 	for _, other := range s.workers {
@@ -132,6 +135,9 @@
 	if w.fails || job.spec.Payload == "fails" {
 		runTime, reason = 50*time.Millisecond, work.EndFailed
 	}
+	if job.spec.Payload == firstRunFails && request.Run == 1 {
+		reason = work.EndFailed
+	}
 	if step.LongRunning && reason == work.EndDone {
 		r.duration = 1 // reports full service immediately
 		return
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -174,7 +174,7 @@
 	demand := r.task.demand()
 	return slices.ContainsFunc(o.sortedNodes, func(n *node) bool {
 		good, known := s.advice.allowed[n.worker.ID]
-		return n != r.node && n.usable(now) && n.worker.Pool == s.job.queue.Service && (good || !known) &&
+		return n != r.node && n.usable(now) && n.worker.Pool == s.job.policy.Service && (good || !known) &&
 			o.mayRun(s, n) && n.maxTasks(s) > 0 && o.slownessPenalty(n, now) == 0 && n.free().Fits(demand)
 	})
 }
--- a/internal/cell/wide_test.go
+++ b/internal/cell/wide_test.go
@@ -55,7 +55,7 @@
 
 // submitTo submits a job to a queue.
 func (s *sim) submitTo(id, team, queue string, steps ...work.Step) {
-	job := &work.Job{ID: id, Team: team, Queue: queue, Steps: steps, Accepted: s.now}
+	job := &work.Job{ID: id, Team: team, Queue: queue, Steps: steps, Accepted: s.now, Policy: s.tables.Policy(queue, team, nil)}
 	s.jobs[id] = &simJob{spec: job}
 	s.owner.call(func() { s.owner.Accept(job) })
 }
--- a/internal/work/change.go
+++ b/internal/work/change.go
@@ -126,11 +126,8 @@
 // equal reports whether both queues have the same settings.
 func (q *Queue) equal(other *Queue) bool {
 	a, b := *q, *other
-	if (a.Advice == nil) != (b.Advice == nil) || a.Advice != nil && *a.Advice != *b.Advice {
-		return false
-	}
 	a.Advice, b.Advice = nil, nil
-	return a == b
+	return a == b && equalAdvice(q.Advice, other.Advice)
 }
 
 // equal reports whether both teams have the same settings.
--- a/internal/work/record.go
+++ b/internal/work/record.go
@@ -48,6 +48,7 @@
 	Tasks   []TaskProgress `cbor:"4,keyasint,omitempty"`
 	Epoch   int64          `cbor:"5,keyasint,omitempty"` // epoch of the owner that wrote it
 	Version int64          `cbor:"6,keyasint,omitempty"` // increases with each write by the same owner
+	Policy  *Policy        `cbor:"7,keyasint,omitempty"` // last known policy; nil: that of the job
 }
 
 // EncodeJob encodes a job for the store.
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -65,10 +65,11 @@
 	Queue    string        `cbor:"3,keyasint"`
 	Payload  string        `cbor:"4,keyasint,omitempty"`
 	Steps    []Step        `cbor:"5,keyasint"`
-	Times    int           `cbor:"6,keyasint,omitempty"` // number of occurrences; 0: one, due immediately
-	StartAt  time.Duration `cbor:"7,keyasint,omitempty"` // due time of the first occurrence, since 1970
-	Interval time.Duration `cbor:"8,keyasint,omitempty"` // time between the due times of two occurrences
-	Accepted time.Duration `cbor:"9,keyasint"`           // acceptance time since 1970, by the clock of the accepting host
+	Times    int           `cbor:"6,keyasint,omitempty"`  // number of occurrences; 0: one, due immediately
+	StartAt  time.Duration `cbor:"7,keyasint,omitempty"`  // due time of the first occurrence, since 1970
+	Interval time.Duration `cbor:"8,keyasint,omitempty"`  // time between the due times of two occurrences
+	Accepted time.Duration `cbor:"9,keyasint"`            // acceptance time since 1970, by the clock of the accepting host
+	Policy   *Policy       `cbor:"10,keyasint,omitempty"` // in force at the acceptance; nil in jobs stored before it existed
 }
 
 // Occurrences returns how many times the steps are executed.
