fix: raise the throttle of best-effort tasks after a takeover

Callers would see a best-effort task that never ends: its owner throttled it to 0 % beside a service task, and ended.

Cause: the throttle of a run is not stored. A successor took each adopted run for unthrottled, and no request is sent while the percentage does not change.

Change: the throttle of an adopted run is unknown, counts as 0 % and is raised in the usual steps; the first request is sent in any case.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -446,6 +446,6 @@
 	for _, a := range row.Runs {
 		n := o.node(a.Worker)
 		r := &run{task: t, node: n, number: a.Run, state: runInherited, incarnation: a.Born}
-		o.attach(r)
+		o.adopt(r)
 	}
 }
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -200,7 +200,7 @@
 	r := n.runs[runKey{t, row.Run}]
 	if r == nil {
 		r = &run{task: t, node: n, number: row.Run, state: runInherited, incarnation: n.incarnation}
-		o.attach(r)
+		o.adopt(r)
 		o.markDirty(j)
 	}
 	if r.state != runLive && r.state != runUncertain || r.liveSince == 0 {
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -46,6 +46,7 @@
 	slowness         float64       // at that time, relative to sibling tasks elsewhere; 0 if unknown
 	metric           int           // tail latency in milliseconds of a service task
 	throttle         int           // percent that the worker was set to; 100 at the start
+	throttleUnknown  bool          // a former owner may have set another percent
 	throttleInFlight bool
 	throttledAt      time.Duration
 	stopping         bool
@@ -87,6 +88,13 @@
 	o.usage[team] = o.usage[team].Add(spec.Demand)
 }
 
+// adopt attaches a run of a former owner. Its throttle is not known and counts as the
+// lowest, so that it is raised step by step.
+func (o *Owner) adopt(r *run) {
+	o.attach(r)
+	r.throttle, r.throttleUnknown = 0, true
+}
+
 // detach frees the resources of r.
 func (o *Owner) detach(r *run) {
 	key := runKey{r.task, r.number}
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -120,7 +120,7 @@
 	for i := range workers {
 		id := fmt.Sprintf("w%02d", i)
 		s.workers[id] = &simWorker{
-			sim: s, runs: map[string]*simRun{}, highestEnded: map[string]int64{},
+			sim: s, runs: map[string]*simRun{}, highestEnded: map[string]int64{}, throttles: map[string]int{},
 			worker: work.Worker{
 				ID: id, Address: id, Pool: "pool", Rack: fmt.Sprintf("r%d", i/4), Born: 1,
 				Capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000},
@@ -220,7 +220,8 @@
 	o.Stop = func(w work.Worker, request work.RunRequest, done func(work.RunResponse, error)) {
 		simRequest(o, w, func(sw *simWorker) (work.RunResponse, error) { return sw.stop(request) }, done)
 	}
-	o.Throttle = func(_ work.Worker, _ work.RunRequest, _ int, done func(work.RunResponse, error)) {
+	o.Throttle = func(w work.Worker, request work.RunRequest, percent int, done func(work.RunResponse, error)) {
+		s.workers[w.ID].throttles[request.Task.String()] = percent
 		done(work.RunResponse{}, nil)
 	}
 	o.Renew = o.sendRenew
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -29,7 +29,9 @@
 	stalls       bool    // no run makes progress
 	slowdown     float64 // factor on run times; 0 means 1
 	waiters      []func()
-	startError   error // response to every start
+	startError   error          // response to every start
+	metric       int            // that it reports of each run
+	throttles    map[string]int // percent that was last requested, by task
 }
 
 type simRun struct {
@@ -229,7 +231,7 @@
 func (w *simWorker) listRuns() work.RenewResponse {
 	response := work.RenewResponse{Clock: w.clock(), Born: w.worker.Born, Ended: slices.Clone(w.ends)}
 	for _, r := range w.runs {
-		response.Running = append(response.Running, work.RunStatus{Task: r.ref, Run: r.run, Percent: r.percent(w.sim.now)})
+		response.Running = append(response.Running, work.RunStatus{Task: r.ref, Run: r.run, Percent: r.percent(w.sim.now), Metric: w.metric})
 	}
 	return response
 }
--- a/internal/cell/throttle.go
+++ b/internal/cell/throttle.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		percent := sched.Throttle(r.throttle, worstTail)
-		if percent == r.throttle {
+		if percent == r.throttle && !r.throttleUnknown {
 			continue
 		}
 		o.setThrottle(r, percent, worstTail, now)
@@ -53,7 +53,7 @@
 	o.Throttle(r.node.worker, request, percent, func(_ work.RunResponse, err error) {
 		r.throttleInFlight = false
 		if err == nil {
-			r.throttle = percent
+			r.throttle, r.throttleUnknown = percent, false
 			return
 		}
 		event.CellThrottleFailed.Log(o.Log).Str("task", request.Task.String()).Err(err).Send()
