fix: count only workers of the stored directory for starts without a record

Callers would see accepted work stand still during an outage of the store: more entries of the worker list name workers that never answer than others.

Cause: an owner starts work without a record if a majority of the listed workers have confirmed its fencing token. Workers that never answered say nothing about a successor, which queries the workers of the stored directory.

Change: the majority is that of the stored directory.

Measured: TestSilentEntriesDoNotStopWorkInAnOutage failed before and passes now.

--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -202,20 +202,22 @@
 const confirmationValidity = 2 * time.Second
 
 // mayStartUnrecorded reports whether this owner may start work without a record:
-// a majority of the workers responded under its fencing token to calls sent within
-// confirmationValidity, so no successor had fenced a majority of them before.
+// a majority of the workers in the stored directory responded under its fencing token to
+// calls sent within confirmationValidity, so no successor had fenced a majority of them
+// before. A successor queries just these workers. Others may be listed that never respond,
+// such as entries of other writers.
 func (o *Owner) mayStartUnrecorded(now time.Duration) bool {
-	listed, confirmed := 0, 0
+	known, confirmed := 0, 0
 	for _, n := range o.sortedNodes {
-		if !n.listed {
+		if !n.inDirectory {
 			continue
 		}
-		listed++
+		known++
 		if n.responded && now-n.confirmedAt < confirmationValidity {
 			confirmed++
 		}
 	}
-	return 2*confirmed > listed
+	return 2*confirmed > known
 }
 
 // sendStart sends the start of a planned run. The worker may execute it within
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -192,3 +192,25 @@
 	s.submit("b", newStep(2, time.Second))
 	assert.Assert(t, s.startsWithin("b", time.Second), "work continues without the store")
 }
+
+// TestSilentEntriesDoNotStopWorkInAnOutage lists more workers that never respond than
+// others, as entries of another program do: they say nothing about a successor, so the
+// owner must still start work while the store is unavailable.
+func TestSilentEntriesDoNotStopWorkInAnOutage(t *testing.T) {
+	s := newSim(t, 1, 12)
+	for i := 4; i < 12; i++ {
+		s.workers[fmt.Sprintf("w%02d", i)].down = true
+	}
+	s.claim()
+	second := newStep(2, time.Second)
+	second.After = []int{0}
+	s.submit("a", newStep(2, time.Second), second)
+	s.run(500 * time.Millisecond)
+	s.store.down = true
+	s.run(6 * time.Second)
+	ended := 0
+	for _, w := range s.workers {
+		ended += len(w.ends)
+	}
+	assert.Equal(t, ended, 4, "both steps have run during the outage")
+}
