--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -40,7 +40,6 @@
 	spec           *work.Step
 	number         int
 	occurrence     int
-	predecessors   []*step
 	tasks          []*task
 	tasksDone      int
 	tasksRunning   int     // tasks that have a run
@@ -94,7 +93,6 @@
 func newJob(spec *work.Job) *job {
 	j := &job{spec: spec, policy: cmp.Or(spec.Policy, unknownPolicy), criticalPath: criticalPathFrom(spec, -1)}
 	for occurrence := range spec.Occurrences() {
-		offset := len(j.steps)
 		for i := range spec.Steps {
 			s := &step{job: j, spec: &spec.Steps[i], number: i, occurrence: occurrence}
 			if occurrence == 0 {
@@ -102,9 +100,6 @@
 			} else {
 				s.remainingPath = j.steps[i].remainingPath
 			}
-			for _, before := range s.spec.After {
-				s.predecessors = append(s.predecessors, j.steps[offset+before])
-			}
 			for index := range s.spec.Count {
 				t := &task{step: s, number: len(j.tasks), index: index}
 				s.tasks = append(s.tasks, t)
@@ -150,14 +145,19 @@
 // finished reports whether no further task of the job may be started.
 func (j *job) finished() bool { return j.cancelled || j.state.Terminal() }
 
+// predecessor returns the step that entry i of After names, in the same occurrence.
+func (s *step) predecessor(i int) *step {
+	return s.job.steps[s.occurrence*len(s.job.spec.Steps)+s.spec.After[i]]
+}
+
 // runnable reports whether the predecessors of the step are done and its due time
 // has passed.
 func (s *step) runnable(wall time.Duration) bool {
 	if due := s.job.spec.Due(s.occurrence); due > 0 && wall < due {
 		return false
 	}
-	for _, before := range s.predecessors {
-		if before.tasksDone < len(before.tasks) {
+	for i := range s.spec.After {
+		if before := s.predecessor(i); before.tasksDone < len(before.tasks) {
 			return false
 		}
 	}
@@ -167,8 +167,8 @@
 // runnableSince returns the time of day from which the step could run.
 func (s *step) runnableSince() (at time.Duration) {
 	at = max(s.job.spec.Accepted, s.job.spec.Due(s.occurrence))
-	for _, before := range s.predecessors {
-		at = max(at, before.lastTaskDoneAt)
+	for i := range s.spec.After {
+		at = max(at, s.predecessor(i).lastTaskDoneAt)
 	}
 	return at
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -74,6 +74,12 @@
 	// probeInterval is the interval between two renewals sent to a worker that does not
 	// respond, or whose ends cannot be recorded.
 	probeInterval = 250 * time.Millisecond
+	// frequentProbes is the number of consecutive missed renewals up to which a worker is
+	// probed at probeInterval. It covers network partitions, which last for seconds.
+	frequentProbes = 20
+	// silentProbeInterval is the interval between two renewals sent to a worker that has
+	// missed more of them. Its entry may have been written by another program.
+	silentProbeInterval = 2 * time.Second
 	// replacedProbeInterval is the interval between two renewals sent to an address that
 	// another worker has taken over, until the entry of the former worker is gone.
 	replacedProbeInterval = 2 * time.Second
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -58,12 +59,16 @@
 }
 
 // handleMissedRenewal records that a renewal was not answered. The first retry
-// follows immediately, later ones at probeInterval.
+// follows immediately, later ones at probeInterval. A worker that has been silent for long
+// and cannot run anything is probed at silentProbeInterval.
 func (o *Owner) handleMissedRenewal(n *node, err error, now time.Duration) {
 	o.Counters.RenewalsMissed++
 	n.missedRenewals++
 	n.nextRenewal = now
-	if n.missedRenewals > 1 {
+	switch {
+	case n.missedRenewals > frequentProbes && len(n.runs) == 0 && !n.fromPredecessor:
+		n.nextRenewal = now + silentProbeInterval
+	case n.missedRenewals > 1:
 		n.nextRenewal = now + probeInterval
 	}
 	if n.missedRenewals == unresponsiveMisses {
@@ -139,7 +144,7 @@
 // does so only once the job's record of the end is saved. Ends of unknown jobs need
 // no record.
 func (o *Owner) processEnds(n *node, ended []work.RunResult) {
-	slices.SortFunc(ended, func(a, b work.RunResult) int { return int(a.Sequence - b.Sequence) })
+	slices.SortFunc(ended, func(a, b work.RunResult) int { return cmp.Compare(a.Sequence, b.Sequence) })
 	for _, end := range ended {
 		if end.Sequence <= n.lastEndProcessed {
 			continue
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -267,9 +267,14 @@
 // deadline returns the time of day by which an occurrence of a job should end.
 func (o *Owner) deadline(j *job, occurrence int) time.Duration {
 	start := max(j.spec.Accepted, j.spec.Due(occurrence))
-	return start + j.policy.Target + time.Duration(float64(j.criticalPath)*max(j.policy.Stretch, 1))
+	stretched := min(float64(j.criticalPath)*max(j.policy.Stretch, 1), float64(maxTimeBudget))
+	return start + j.policy.Target + time.Duration(stretched)
 }
 
+// maxTimeBudget bounds the time budget of a job. Several times as much can be added to any
+// due time without an overflow.
+const maxTimeBudget = 10 * 365 * 24 * time.Hour
+
 // criticalPathFrom returns the longest chain of estimated work through the steps of a
 // job, starting at step first, or at any step if first is negative.
 func criticalPathFrom(spec *work.Job, first int) (longest time.Duration) {
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -137,23 +137,32 @@
 	return workers, nil
 }
 
-// listWorkers reads the worker list. Malformed entries are logged and skipped.
+// listWorkers reads the worker list. Malformed entries are skipped, and each version of
+// one is logged once.
 func (h *Host) listWorkers(ctx context.Context) (workers []work.Worker, err error) {
 	items, _, err := h.store.List(ctx, h.StoreLayout.WorkersPrefix)
 	if err != nil {
 		return nil, err
 	}
+	logged, malformed := *h.malformedWorkers.Load(), map[string]int64{}
 	for i := range items {
 		w, err := h.StoreLayout.DecodeWorker(items[i].Key, items[i].Value)
-		if err != nil {
-			event.EntryMalformed.Log(h.Log).Str("key", items[i].Key).Err(err).Send()
+		if err == nil {
+			workers = append(workers, w)
 			continue
 		}
-		workers = append(workers, w)
+		malformed[items[i].Key] = items[i].Revision
+		if len(malformed) <= maxMalformedLogged && logged[items[i].Key] != items[i].Revision {
+			event.EntryMalformed.Log(h.Log).Str("key", items[i].Key).Int64("revision", items[i].Revision).Err(err).Send()
+		}
 	}
+	h.malformedWorkers.Store(&malformed)
 	return workers, nil
 }
 
+// maxMalformedLogged bounds the malformed entries that one read of the worker list logs.
+const maxMalformedLogged = 20
+
 const (
 	// watchTimeout is the maximum time that one watch on jobs waits for a
 	// change.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -97,6 +97,8 @@
 	lastRelay atomic.Pointer[string] // address of the host that relayed the last request
 	stats     *Stats
 
+	malformedWorkers atomic.Pointer[map[string]int64] // by key: revision that was read last
+
 	seeds atomic.Pointer[[]string]
 	view  atomic.Pointer[view] // state of the cell for other goroutines
 
@@ -149,6 +151,7 @@
 		stats:             newStats(),
 	}
 	h.view.Store(&view{})
+	h.malformedWorkers.Store(&map[string]int64{})
 	h.SetSeeds(nil)
 	h.runCtx, h.abort = context.WithCancel(context.Background())
 	return h
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -36,6 +36,15 @@
 	MaxJobTasks = 20000
 	// MaxOccurrences is the maximum number of repetitions of a job.
 	MaxOccurrences = 10000
+	// MaxDemand is the maximum demand of a task for one resource. The sum over all tasks
+	// of a job cannot overflow.
+	MaxDemand = 1 << 40
+	// MaxEstimate is the longest useful estimate of a run time. A longer one has to be
+	// replaced by it.
+	MaxEstimate = 30 * 24 * time.Hour
+	// MaxDue is the latest time at which the last occurrence of a job may be due, since
+	// 1970.
+	MaxDue = 200 * 365 * 24 * time.Hour
 )
 
 // Step describes a number of identical tasks.
@@ -105,6 +114,8 @@
 		return errs.New("occurrences: 0 to %d are allowed", MaxOccurrences)
 	case j.Times > 0 && (j.StartAt < 0 || j.Interval < 0):
 		return errs.New("occurrences: due times must not be negative")
+	case j.Times > 0 && (j.StartAt > MaxDue || j.Interval > (MaxDue-j.StartAt)/time.Duration(j.Times)):
+		return errs.New("occurrences: the last one is due later than %d years after 1970", MaxDue/(365*24*time.Hour))
 	}
 	for i := range j.Steps {
 		if err := j.checkStep(i); err != nil {
@@ -125,6 +136,10 @@
 		return errs.New("steps[%d]: count: 1 to %d is allowed", i, MaxJobTasks)
 	case s.Demand.MilliCores < 0 || s.Demand.MemoryMB < 0 || s.Demand.Accelerators < 0:
 		return errs.New("steps[%d]: resources must not be negative", i)
+	case !(resource.Vector{MilliCores: MaxDemand, MemoryMB: MaxDemand, Accelerators: MaxDemand}).Fits(s.Demand):
+		return errs.New("steps[%d]: resources: at most %d of each are allowed", i, int64(MaxDemand))
+	case len(s.After) > i:
+		return errs.New("steps[%d]: after: more entries than earlier steps", i)
 	case s.Estimate < 0 || s.TailLatencyTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
 		return errs.New("steps[%d]: times and bounds must not be negative", i)
 	}
