fix: conclude nothing from an incomplete list of ends

Callers saw tasks run again that were done: a minion had more than 500 ends that were not acknowledged, because the store was away.

Cause: a response lists at most 500 ends. A run that was in neither list was freed and its task started again. A successor took a minion for known after its first response, although further ends were to come.

Change: a response with 500 ends frees no run, and a worker of a former owner is resolved only by a complete response.

--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -59,7 +59,7 @@
 // mayRunUnknown reports whether the worker may have runs of a former owner that are
 // not recorded by this owner.
 func (o *Owner) mayRunUnknown(n *node, now time.Duration) bool {
-	return n.fromPredecessor && !n.responded && now-o.startedAt < o.resolveTimeout(n)
+	return n.fromPredecessor && !n.resolved && now-o.startedAt < o.resolveTimeout(n)
 }
 
 // resolveTimeout is how long starts wait for a worker of the former owner that does
@@ -139,7 +139,7 @@
 	event.CellWorkerRestarted.Log(o.Log).Str("worker", n.worker.ID).Int64("born", incarnation).Int64("before", n.incarnation).
 		Int("runs", len(n.runs)).Send()
 	n.incarnation = incarnation
-	n.responded = false
+	n.responded, n.resolved = false, false
 	n.fenceSeq++
 	n.clock, n.clockReadAt = 0, 0
 	n.lastEndProcessed, n.unackedEnds = 0, nil
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -30,6 +30,7 @@
 	// State of the worker's current incarnation.
 	incarnation    int64
 	responded      bool  // it has responded under the current fencing token
+	resolved       bool  // all that it runs and all its ends were listed in such a response
 	fenceSeq       int64 // increments of the fencing token within this ownership
 	clock          time.Duration
 	clockReadAt    time.Duration // upper bound of the local time at which clock was read
@@ -209,7 +210,7 @@
 // worker returns, it has to respond under a higher fencing token first.
 func (o *Owner) expireLease(n *node, now time.Duration) {
 	n.fenceSeq++
-	n.responded = false
+	n.responded, n.resolved = false, false
 	for _, r := range sortedRuns(n) {
 		o.loseRun(r, "the worker's lease has ended")
 	}
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -85,7 +85,7 @@
 		event.CellWorkerReplaced.Log(o.Log).Str("worker", n.worker.ID).Str("address", n.worker.Address).Int("runs", len(n.runs)).Send()
 	}
 	n.missedRenewals = max(n.missedRenewals, unresponsiveMisses)
-	n.responded, n.fromPredecessor = false, false
+	n.responded, n.resolved, n.fromPredecessor = false, false, false
 	n.leaseExpiry = now
 	for _, r := range sortedRuns(n) {
 		o.loseRun(r, "another worker is at its address")
@@ -114,7 +114,9 @@
 	n.recordClock(response.Clock, sent, received)
 	n.nextRenewal = received + renewalInterval
 	o.processEnds(n, response.Ended)
-	o.processRunning(n, response.Running, sent, received)
+	endsComplete := len(response.Ended) < work.MaxListedEnds
+	o.processRunning(n, response.Running, endsComplete, sent, received)
+	n.resolved = n.resolved || endsComplete
 	if len(n.unackedEnds) > 0 && !o.StoreUp() {
 		n.nextRenewal = received + probeInterval
 	}
@@ -164,8 +166,9 @@
 // processRunning matches the runs that a worker lists with those of the owner, and
 // frees runs that the worker does not list. A live or uncertain run is freed only if
 // the renewal was sent after the response that last resolved whether the run exists,
-// because an earlier list may lack it.
-func (o *Owner) processRunning(n *node, running []work.RunStatus, sent, received time.Duration) {
+// because an earlier list may lack it. None is freed if the list of ends is incomplete: the
+// run may have ended, and its end is listed once earlier ones are acknowledged.
+func (o *Owner) processRunning(n *node, running []work.RunStatus, endsComplete bool, sent, received time.Duration) {
 	listed := make(map[*run]bool, len(running))
 	for i := range running {
 		if r := o.matchRun(n, &running[i], received); r != nil {
@@ -173,7 +176,7 @@
 		}
 	}
 	for _, r := range sortedRuns(n) {
-		if listed[r] {
+		if listed[r] || !endsComplete {
 			continue
 		}
 		switch r.state {
@@ -186,7 +189,9 @@
 			o.loseRun(r, "not found on its worker")
 		}
 	}
-	o.measureRuns(n, received)
+	if endsComplete {
+		o.measureRuns(n, received)
+	}
 	o.throttleNode(n, received)
 }
 
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -296,7 +296,7 @@
 	case errs.Is(err, work.ErrUnhealthy):
 		n.cooldownUntil = now + unhealthyCooldown
 	case errs.Is(err, work.ErrOtherIncarnation):
-		n.responded = false
+		n.responded, n.resolved = false, false
 		n.nextRenewal = now
 	case errs.Is(err, work.ErrNoCapacity):
 		// The view of the worker is wrong: refresh it before the next start.
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -29,6 +29,7 @@
 	store           simStore
 	owner           *simOwner
 	epoch           int64
+	starts          int             // runs that workers have started
 	ackedDone       map[string]bool // tasks whose end as done was acknowledged
 	ackedFailures   map[string]int  // acknowledged failures by task
 	trace           []string
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -126,6 +126,7 @@
 		s.fatalf("%s exceeds its capacity with %s", w.worker.ID, name)
 	}
 	s.serial++
+	s.starts++
 	r := &simRun{ref: request.Task, run: request.Run, serial: s.serial, demand: step.Demand, startedAt: s.now}
 	w.runs[name] = r
 	incarnation := w.worker.Born
@@ -229,7 +230,7 @@
 
 // listRuns returns the running tasks and the ends that are not acknowledged.
 func (w *simWorker) listRuns() work.RenewResponse {
-	response := work.RenewResponse{Clock: w.clock(), Born: w.worker.Born, Ended: slices.Clone(w.ends)}
+	response := work.RenewResponse{Clock: w.clock(), Born: w.worker.Born, Ended: slices.Clone(w.ends[:min(len(w.ends), work.MaxListedEnds)])}
 	for _, r := range w.runs {
 		response.Running = append(response.Running, work.RunStatus{Task: r.ref, Run: r.run, Percent: r.percent(w.sim.now), Metric: w.metric})
 	}
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -117,6 +117,10 @@
 	Wait         time.Duration // maximum time that the worker may delay the response until a run ends
 }
 
+// MaxListedEnds is the maximum number of ended runs in a RenewResponse. If a response has
+// that many, later ends may be missing in it.
+const MaxListedEnds = 500
+
 // RenewResponse is the response to a RenewRequest.
 type RenewResponse struct {
 	_ struct{} `cbor:",toarray"`
