fix: take over a store that holds the ended jobs of hours

Callers saw accepted jobs that never start: each process that took the cell over exceeded its memory and was killed.

Cause: at most eight ended jobs were deleted a second, so the store grew at the site's rate. A takeover held all rows of jobs and progress at once and built the tasks of ended jobs as well.

Change: deletions follow each other, ten jobs a write, up to 400 a second. A takeover reads both listings side by side page by page and keeps the ID, team and state of ended jobs. A load counts as stalled after five seconds without a page, not after five seconds in all. A job that was deleted is not accepted again from a listing that was read before.

TestLoadManyEndedJobs keeps under 512 bytes of a job.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -174,11 +175,14 @@
 }
 
 // Accept adds a job that is in the store. A job that is already known is left
-// unchanged.
+// unchanged. A job that was deleted recently is ignored: the caller has read it before.
 func (o *Owner) Accept(spec *work.Job) {
 	if _, ok := o.jobs[spec.ID]; ok {
 		return
 	}
+	if d, ok := o.deleted[spec.ID]; ok && d.accepted == spec.Accepted {
+		return
+	}
 	j := newJob(spec)
 	o.addJob(j)
 	o.applyTeamRate(j)
@@ -313,17 +317,24 @@
 		}
 	}
 	o.passDue = true
-	if now < o.nextDelete {
+	if now < o.nextDelete || o.deleting {
 		return
 	}
 	o.nextDelete = now + deleteInterval
+	maps.DeleteFunc(o.deleted, func(_ string, d deletedJob) bool { return now-d.at > deletedMemory })
+	if !o.StoreUp() {
+		return
+	}
 	var old []string
 	for _, j := range o.jobs {
 		if j.state.Terminal() && j.savedVersion >= j.version && !j.saving && o.WallClock()-j.endedAt > o.Bounds.Retention && o.hasNoRuns(j) {
-			old = append(old, j.spec.ID)
+			if old = append(old, j.spec.ID); len(old) == maxDeletions {
+				break
+			}
 		}
 	}
-	if len(old) > 0 && o.StoreUp() {
+	if len(old) > 0 {
+		o.deleting = true
 		o.deleteEnded(old)
 	}
 }
@@ -332,24 +343,44 @@
 	return !slices.ContainsFunc(j.tasks, func(t *task) bool { return len(t.runs) > 0 })
 }
 
-// deleteInterval is the interval between two deletions of old records.
-const deleteInterval = time.Second
+const (
+	// deleteInterval is the interval between two searches for old records.
+	deleteInterval = time.Second
+	// maxDeletions bounds the jobs that are deleted after one search. They have to be more
+	// than can be submitted in deleteInterval, because the store must not grow.
+	maxDeletions = 400
+	// maxDeleteBatch bounds the number of jobs in one write: each has three keys, and a
+	// write has at most 32 entries, one of which is the condition.
+	maxDeleteBatch = 10
+)
+
+// deletedJob identifies a job that was deleted.
+type deletedJob struct {
+	accepted time.Duration // tells it from a later job with the same ID
+	at       time.Duration // local time of the deletion
+}
 
-// maxDeleteBatch bounds the number of jobs in one deletion.
-const maxDeleteBatch = 8
+// deletedMemory is how long a deleted job is remembered. A listing that was read before
+// the deletion is applied within this time.
+const deletedMemory = 30 * time.Second
 
-// deleteEnded deletes the stored data of up to maxDeleteBatch jobs.
+// deleteEnded deletes the stored data of jobs, one batch after the other. After a failure
+// the rest is left for the next search.
 func (o *Owner) deleteEnded(ids []string) {
-	if len(ids) > maxDeleteBatch {
-		ids = ids[:maxDeleteBatch]
-	}
-	o.DeleteJobs(ids, func(ok bool) {
-		if !ok {
-			return
+	batch := ids[:min(len(ids), maxDeleteBatch)]
+	o.DeleteJobs(batch, func(ok bool) {
+		if ok {
+			for _, id := range batch {
+				o.deleted[id] = deletedJob{accepted: o.jobs[id].spec.Accepted, at: o.Now()}
+				delete(o.jobs, id)
+			}
+			ids = ids[len(batch):]
 		}
-		for _, id := range ids {
-			delete(o.jobs, id)
+		if !ok || len(ids) == 0 || o.ownershipLost {
+			o.deleting = false
+			return
 		}
+		o.deleteEnded(ids)
 	})
 }
 
@@ -372,6 +403,17 @@
 	Cancelled bool
 }
 
+// DropDetails removes what is not needed of a job that has ended, unless one of its runs
+// may still be on its worker.
+func (st *StoredJob) DropDetails() {
+	p := st.Progress
+	if p == nil || !p.State.Terminal() || slices.ContainsFunc(p.Tasks, func(row work.TaskProgress) bool { return len(row.Runs) > 0 }) {
+		return
+	}
+	st.Job = &work.Job{ID: st.Job.ID, Team: st.Job.Team, Queue: st.Job.Queue, Accepted: st.Job.Accepted}
+	st.Progress = &work.Progress{State: p.State, Ended: p.Ended, Started: p.Started}
+}
+
 // Restore applies the stored jobs. Call it before any other method.
 func (o *Owner) Restore(stored []StoredJob) {
 	now := o.Now()
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -121,9 +121,11 @@
 	sweep              int // number of the current sweep: one or more passes over all waiting steps
 	nextScan           time.Duration
 	nextDelete         time.Duration
-	queueTables        *work.Tables // from which the jobs took their queues
-	runTimeRatios      runningMeans // measured run time over the estimate, by queue
-	allowedFractions   runningMeans // fraction of the queried workers that the adviser allows, by queue
+	deleting           bool                  // a deletion of old records is in flight
+	deleted            map[string]deletedJob // recently, by ID
+	queueTables        *work.Tables          // from which the jobs took their queues
+	runTimeRatios      runningMeans          // measured run time over the estimate, by queue
+	allowedFractions   runningMeans          // fraction of the queried workers that the adviser allows, by queue
 	ownershipLost      bool
 	waitLogsSince      time.Duration // start of the interval in which waitLogs lines were written
 	waitLogs           int           // lines on waiting steps in this interval
@@ -149,6 +151,7 @@
 		usage:            map[string]resource.Vector{},
 		tokenBuckets:     map[string]*sched.TokenBucket{},
 		dirty:            map[*job]bool{},
+		deleted:          map[string]deletedJob{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
 		sweep:            1, // a new step has 0: not yet checked
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -54,13 +53,19 @@
 	start := time.Now()
 	// With a slow store, loading takes longer than the time after which other
 	// hosts replace an unresponsive owner. Liveness markers prevent that.
-	loadCtx, cancelLoad := context.WithTimeout(ctx, maxLoadTime)
+	loadCtx, cancelLoad := context.WithCancel(ctx)
 	defer cancelLoad()
-	h.loadingUntil.Store(int64(bootClock() + maxLoadTime))
 	defer h.loadingUntil.Store(0)
+	stalled := time.AfterFunc(maxLoadStall, cancelLoad)
+	defer stalled.Stop()
+	progressed := func() {
+		stalled.Reset(maxLoadStall)
+		h.loadingUntil.Store(int64(bootClock() + maxLoadStall))
+	}
+	progressed()
 	h.spawn(func() { h.writeLivenessMarkers(loadCtx, claimed) })
 	for ctx.Err() == nil {
-		err = h.takeOver(ctx, row, claimed)
+		err = h.takeOver(ctx, row, claimed, progressed)
 		if err == nil {
 			h.stats.observe("takeover_seconds", callBuckets, time.Since(start))
 			return
@@ -77,9 +82,10 @@
 const (
 	// loadRetryInterval is the interval between two attempts to load the cell.
 	loadRetryInterval = 100 * time.Millisecond
-	// maxLoadTime is the maximum time for loading the cell before other hosts
-	// replace the new owner. A slow store takes 250 ms per page.
-	maxLoadTime = 5 * time.Second
+	// maxLoadStall is the maximum time without a page of the store while a new owner
+	// loads the cell. After it, other hosts replace the owner. A slow store takes 250 ms
+	// per page, and the number of pages is not bounded.
+	maxLoadStall = 5 * time.Second
 )
 
 // loading reports whether this host has claimed the cell and is still loading
@@ -110,14 +116,14 @@
 }
 
 // takeOver loads the cell and starts its scheduling on this host. It waits until
-// this host has a configuration.
-func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64) (err error) {
-	var jobs, progress []kvstore.Item
+// this host has a configuration. It calls progressed for each page of the store that it
+// has read.
+func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, progressed func()) (err error) {
+	var stored []cell.StoredJob
 	var workers, former []work.Worker
 	var watchFrom int64
 	err = runConcurrently(
-		func() (err error) { jobs, watchFrom, err = h.store.List(ctx, jobPrefix); return err },
-		func() (err error) { progress, _, err = h.store.List(ctx, progressPrefix); return err },
+		func() (err error) { stored, watchFrom, err = h.loadJobs(ctx, progressed); return err },
 		func() (err error) { workers, err = h.listWorkers(ctx); return err },
 		func() (err error) { former, err = h.formerWorkers(ctx); return err },
 	)
@@ -127,7 +133,6 @@
 	for h.Tables() == nil && ctx.Err() == nil {
 		sleep(ctx, loadRetryInterval)
 	}
-	stored := h.decodeStored(jobs, progress)
 	ownerCtx, cancel := context.WithCancel(ctx)
 	callErr := h.loop.Call(ctx, func() {
 		h.currentOwner, h.ownerRowRevision, h.ownerRowRead = row, revision, true
@@ -168,44 +173,6 @@
 	return group.Err()
 }
 
-// decodeStored combines the stored jobs with their cancellations and their
-// progress. Malformed entries are logged and skipped.
-func (h *Host) decodeStored(jobs, progress []kvstore.Item) (stored []cell.StoredJob) {
-	byID := map[string]int{}
-	for i := range jobs {
-		id := strings.TrimPrefix(jobs[i].Key, jobPrefix)
-		if strings.HasSuffix(id, cancelSuffix) {
-			continue
-		}
-		job, err := work.DecodeJob(jobs[i].Value)
-		if err != nil {
-			event.EntryMalformed.Log(h.Log).Str("key", jobs[i].Key).Err(err).Send()
-			continue
-		}
-		byID[id] = len(stored)
-		stored = append(stored, cell.StoredJob{Job: job})
-	}
-	for i := range jobs {
-		id, cancelled := strings.CutSuffix(strings.TrimPrefix(jobs[i].Key, jobPrefix), cancelSuffix)
-		if at, ok := byID[id]; ok && cancelled {
-			stored[at].Cancelled = true
-		}
-	}
-	for i := range progress {
-		at, ok := byID[strings.TrimPrefix(progress[i].Key, progressPrefix)]
-		if !ok {
-			continue
-		}
-		p, err := work.DecodeProgress(progress[i].Value)
-		if err != nil {
-			event.EntryMalformed.Log(h.Log).Str("key", progress[i].Key).Err(err).Send()
-			continue
-		}
-		stored[at].Progress, stored[at].Revision = p, progress[i].Revision
-	}
-	return stored
-}
-
 // endOwnership stops the scheduling of the cell on this host.
 func (h *Host) endOwnership(reason string) {
 	if h.cellOwner == nil {
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 
+	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/resource"
@@ -181,11 +182,13 @@
 		switch {
 		case err == nil:
 			after = next
+			var items []kvstore.Item
 			for i := range events {
 				if !events[i].Removed {
-					h.applyJobItem(&events[i].Item)
+					items = append(items, events[i].Item)
 				}
 			}
+			h.applyJobItems(items)
 		case ctx.Err() == nil:
 			after = h.relistJobs(ctx, after)
 		}
@@ -195,35 +198,38 @@
 
 // relistJobs reads all jobs again, because a failed watch may have missed some.
 func (h *Host) relistJobs(ctx context.Context, after int64) (next int64) {
-	items, revision, err := h.store.List(ctx, jobPrefix)
+	revision, err := h.store.ListPages(ctx, jobPrefix, func(page []kvstore.Item) error {
+		h.applyJobItems(page)
+		return nil
+	})
 	if err != nil {
 		return after
 	}
-	for i := range items {
-		h.applyJobItem(&items[i])
-	}
 	return revision
 }
 
-// applyJobItem passes a job or a cancellation from the store to the owner.
-func (h *Host) applyJobItem(item *kvstore.Item) {
-	id, cancelled := strings.CutSuffix(strings.TrimPrefix(item.Key, jobPrefix), cancelSuffix)
-	if cancelled {
-		h.post(func() {
-			if h.cellOwner != nil {
-				h.cellOwner.Cancel(id)
-			}
-		})
-		return
-	}
-	job, err := work.DecodeJob(item.Value)
-	if err != nil {
-		event.EntryMalformed.Log(h.Log).Str("key", item.Key).Err(err).Send()
-		return
+// applyJobItems passes jobs and cancellations from the store to the owner.
+func (h *Host) applyJobItems(items []kvstore.Item) {
+	var apply []func(o *cell.Owner)
+	for i := range items {
+		item := &items[i]
+		id, cancelled := strings.CutSuffix(strings.TrimPrefix(item.Key, jobPrefix), cancelSuffix)
+		if cancelled {
+			apply = append(apply, func(o *cell.Owner) { o.Cancel(id) })
+			continue
+		}
+		job, err := work.DecodeJob(item.Value)
+		if err != nil {
+			event.EntryMalformed.Log(h.Log).Str("key", item.Key).Err(err).Send()
+			continue
+		}
+		apply = append(apply, func(o *cell.Owner) { o.Accept(job) })
 	}
 	h.post(func() {
-		if h.cellOwner != nil {
-			h.cellOwner.Accept(job)
+		for _, fn := range apply {
+			if h.cellOwner != nil {
+				fn(h.cellOwner)
+			}
 		}
 	})
 }
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -218,18 +218,38 @@
 }
 
 func (c *Client) list(ctx context.Context, page Range) (items []Item, revision int64, err error) {
+	revision, err = c.listPages(ctx, page, func(next []Item) error {
+		items = append(items, next...)
+		return nil
+	})
+	if err != nil {
+		return nil, 0, err
+	}
+	return items, revision, nil
+}
+
+// ListPages is like List for a prefix with many items: it passes each page to yield and
+// keeps none. An error of yield ends the listing. The keys arrive in ascending order.
+func (c *Client) ListPages(ctx context.Context, prefix string, yield func(page []Item) error) (revision int64, err error) {
+	defer Error.WrapP(&err)
+	return c.listPages(ctx, Range{Prefix: prefix}, yield)
+}
+
+func (c *Client) listPages(ctx context.Context, page Range, yield func([]Item) error) (revision int64, err error) {
 	for {
 		request := page
 		resp, err := c.call(ctx, Request{Range: &request, Large: !page.Stale})
 		if err != nil {
-			return nil, 0, err
+			return 0, err
 		}
 		if page.After == "" {
 			revision = resp.Page.Revision
 		}
-		items = append(items, resp.Page.Items...)
+		if err := yield(resp.Page.Items); err != nil {
+			return 0, err
+		}
 		if !resp.Page.More || len(resp.Page.Items) == 0 {
-			return items, revision, nil
+			return revision, nil
 		}
 		page.After = resp.Page.Items[len(resp.Page.Items)-1].Key
 	}
