fix: give a restarted worker no work before its entry is read

Callers saw tasks that need a label run on a minion without it: the minion came back under its id as another kind.

Cause: a worker was usable as soon as its new incarnation had responded under a raised fencing token, with the labels and the capacity of the entry that was read before.

Change: a worker is usable only if its entry has the number of the incarnation that responds.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -136,7 +136,14 @@
 
 // usable reports whether the worker may be given work.
 func (n *node) usable(now time.Duration) bool {
-	return n.responded && n.listed && n.missedRenewals == 0 && !n.worker.Draining && now >= n.cooldownUntil
+	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && now >= n.cooldownUntil
+}
+
+// described reports whether the list entry is that of the worker's current incarnation.
+// After a restart the worker may have other labels and another capacity, and it may
+// respond before its entry is read.
+func (n *node) described() bool {
+	return n.worker.Born == 0 || n.incarnation == 0 || n.worker.Born == n.incarnation
 }
 
 // clockAt returns a lower bound of the worker's clock at a local time.
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -179,7 +179,11 @@
 func (s *sim) list() (list []work.Worker) {
 	for id, w := range s.workers {
 		if !w.unlisted && (!s.entriesExpired || id[len(id)-1]%2 == 0) {
-			list = append(list, w.worker)
+			entry := w.worker
+			if w.staleEntry != nil {
+				entry = *w.staleEntry
+			}
+			list = append(list, entry)
 		}
 	}
 	slices.SortFunc(list, func(a, b work.Worker) int {
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -24,10 +24,11 @@
 	unreachable  bool // no call reaches it
 	down         bool
 	unlisted     bool
-	replaced     bool    // another worker responds at its address
-	fails        bool    // every run fails
-	stalls       bool    // no run makes progress
-	slowdown     float64 // factor on run times; 0 means 1
+	staleEntry   *work.Worker // entry in the store while it is not that of this incarnation
+	replaced     bool         // another worker responds at its address
+	fails        bool         // every run fails
+	stalls       bool         // no run makes progress
+	slowdown     float64      // factor on run times; 0 means 1
 	waiters      []func()
 	startError   error          // response to every start
 	metric       int            // that it reports of each run
@@ -107,6 +108,9 @@
 	job := s.jobs[request.Task.Job]
 	step := &job.spec.Steps[request.Task.Step]
 	s.tracef("%s starts %s run %d fence %d", w.worker.ID, name, request.Run, request.Fence)
+	if step.Label != "" && !w.worker.HasLabel(step.Label) {
+		s.fatalf("%s starts on %s, which lacks the label %s", name, w.worker.ID, step.Label)
+	}
 	if s.ackedDone[name] {
 		s.fatalf("%s is started again after its end as done was acknowledged", name)
 	}
