fix: wait after a takeover by what the former owner has recorded

Callers saw tasks run twice after the owner was cut off from the store and the other hosts, and accepted work stand still for 10 s after an outage, a lost minion and a planned stop.

Cause: a successor decided by the failures of the store that it had seen itself whether the former owner may have started work without a record. The owner that is cut off sees an outage of its own. The owner that has long recorded everything again leaves nothing to wait for.

Change: an owner tells in heartbeat responses and in a handover whether all that may run is recorded, and the age of its last answer from the store. A successor waits for minions that do not respond unless that proves that there is nothing without a record. An owner starts nothing without a record while it offers the cell to others. Ages of store calls are measured by the monotonic clock.

--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -87,7 +87,7 @@
 			// What the adviser has said of a step does not change, so another owner asks anew.
 			recovered = true
 			next := s.owner.Advise
-			s.owner.killed = true
+			s.owner.kill()
 			s.claim()
 			s.owner.Advise = next
 			s.run(delay + 10*time.Second)
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -77,7 +77,7 @@
 		for _, w := range s.workers {
 			total += int(w.lastSequence)
 		}
-		s.owner.killed = true
+		s.owner.kill()
 		s.claim()
 		s.run(s.now + 5*time.Millisecond)
 		if state, _, _ := s.owner.State("a"); state == work.StateFailed && total < 3 {
@@ -196,6 +196,34 @@
 func randomRun(t *testing.T, seed uint64) {
 	const length = 30 * time.Second
 	s := newSim(t, seed, 8)
+	s.playRandomFaults(length)
+}
+
+// TestRandomFaultsOfConnectedOwners is TestRandomFaults with successors that have heard from
+// their predecessors, some of which are cut off from the store while it serves others.
+func TestRandomFaultsOfConnectedOwners(t *testing.T) {
+	const length = 30 * time.Second
+	for seed := uint64(1); seed <= uint64(*seedsFlag); seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newSim(t, seed, 8)
+			s.connected = true
+			for range 3 {
+				s.after(time.Duration(s.rng.Int64N(int64(length))), func() {
+					s.tracef("epoch %d is cut off from the store", s.epoch)
+					cut := s.owner
+					cut.cut = true
+					s.after(time.Duration(600+s.rng.IntN(1500))*time.Millisecond, s.claimWhenUp)
+					s.after(5*time.Second, func() { cut.cut = false })
+				})
+			}
+			s.playRandomFaults(length)
+		})
+	}
+}
+
+// playRandomFaults runs 40 jobs under ten random faults, then without faults until every
+// job has ended.
+func (s *sim) playRandomFaults(length time.Duration) {
 	s.claim()
 	s.loseResponse = []float64{0, 0, 0.02, 0.1}[s.rng.IntN(4)]
 	s.delayRequest = []float64{0, 0, 0.05}[s.rng.IntN(3)]
@@ -249,7 +277,7 @@
 	d := time.Duration(s.rng.Int64N(int64(8 * time.Second)))
 	switch s.rng.IntN(10) {
 	case 0:
-		s.owner.killed = true
+		s.owner.kill()
 		s.after(d/4, s.claimWhenUp)
 	case 1:
 		s.owner.freeze(d)
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -418,16 +418,20 @@
 func (o *Owner) Restore(stored []StoredJob) {
 	now := o.Now()
 	o.startedAt = now
-	o.storeFailedAtStart = o.StoreFailedRecently()
-	if o.SinceStoreFailure() < storeFailureMemory {
-		// The former owner may have started work without a record.
+	unrecorded := o.Predecessor == PredecessorUnrecorded
+	if o.Predecessor == PredecessorUnknown {
+		unrecorded = o.SinceStoreFailure() < storeFailureMemory
+	}
+	if unrecorded {
 		o.resolveUntil = now + o.maxLeaseSpan() + unrecordedStartSpan
 	}
+	o.mayHaveUnrecorded = o.Predecessor == PredecessorUnrecorded || o.Predecessor == PredecessorUnknown && o.StoreFailedRecently()
 	slices.SortFunc(stored, func(a, b StoredJob) int { return cmp.Compare(a.Job.Accepted, b.Job.Accepted) })
 	for i := range stored {
 		o.restoreJob(&stored[i])
 	}
-	event.CellRestored.Log(o.Log).Int64("epoch", o.Epoch).Int("jobs", len(o.jobs)).Int("open", len(o.active)).Send()
+	event.CellRestored.Log(o.Log).Int64("epoch", o.Epoch).Int("jobs", len(o.jobs)).Int("open", len(o.active)).
+		Stringer("predecessor", o.Predecessor).Dur("resolve", max(o.resolveUntil-now, 0)).Send()
 }
 
 // restoreJob rebuilds a job. Recorded runs count as running on their worker until
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -63,11 +63,11 @@
 }
 
 // resolveTimeout is how long starts wait for a worker of the former owner that does
-// not respond. If no store failure was observed, a worker whose list entry has
+// not respond. If the former owner is not known to have started work without a record, a worker whose list entry has
 // expired either has terminated or is listed again within the grace period. Later
 // store failures concern only work of this owner.
 func (o *Owner) resolveTimeout(n *node) time.Duration {
-	if o.storeFailedAtStart || n.listed {
+	if o.mayHaveUnrecorded || n.listed {
 		return max(o.resolveUntil-o.startedAt, o.Bounds.StoreGrace)
 	}
 	return o.Bounds.StoreGrace
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -76,6 +76,8 @@
 	// failure within the longest lease. The predecessor may then have started work
 	// without a record.
 	StoreFailedRecently func() bool
+	// Predecessor is what is known of the starts of the former owner. Set it before Restore.
+	Predecessor Predecessor
 	// OnOwnershipLost is called once when a higher fencing token or another owner is
 	// observed.
 	OnOwnershipLost func(reason string)
@@ -101,34 +103,36 @@
 
 	Counters Counters
 
-	jobs               map[string]*job
-	active             []*job // not terminal, by age
-	nodes              map[string]*node
-	workersListedAt    time.Duration              // when the worker list was last applied
-	sortedNodes        []*node                    // by ID
-	usage              map[string]resource.Vector // resources that runs occupy, by team
-	unresolved         resource.Vector            // capacity that unresolved runs of the predecessor may use
-	unresolvedByTeam   map[string]resource.Vector // the same by team
-	tokenBuckets       map[string]*sched.TokenBucket
-	startedAt          time.Duration // when this owner took over
-	resolveUntil       time.Duration // until when starts wait for workers that have not responded
-	storeFailedAtStart bool          // the store had failed shortly before the takeover
-	dirty              map[*job]bool
-	writesInFlight     int
-	passDue            bool // a scheduling pass is due
-	nextPass           time.Duration
-	nextFlush          time.Duration
-	sweep              int // number of the current sweep: one or more passes over all waiting steps
-	nextScan           time.Duration
-	nextDelete         time.Duration
-	deleting           bool                  // a deletion of old records is in flight
-	deleted            map[string]deletedJob // recently, by ID
-	queueTables        *work.Tables          // from which the jobs took their queues
-	runTimeRatios      runningMeans          // measured run time over the estimate, by queue
-	allowedFractions   runningMeans          // fraction of the queried workers that the adviser allows, by queue
-	ownershipLost      bool
-	waitLogsSince      time.Duration // start of the interval in which waitLogs lines were written
-	waitLogs           int           // lines on waiting steps in this interval
+	jobs              map[string]*job
+	active            []*job // not terminal, by age
+	nodes             map[string]*node
+	workersListedAt   time.Duration              // when the worker list was last applied
+	sortedNodes       []*node                    // by ID
+	usage             map[string]resource.Vector // resources that runs occupy, by team
+	unresolved        resource.Vector            // capacity that unresolved runs of the predecessor may use
+	unresolvedByTeam  map[string]resource.Vector // the same by team
+	tokenBuckets      map[string]*sched.TokenBucket
+	startedAt         time.Duration // when this owner took over
+	resolveUntil      time.Duration // until when starts wait for workers that have not responded
+	mayHaveUnrecorded bool          // the former owner may have started work without a record
+	dirty             map[*job]bool
+	unrecorded        map[*job]int64 // jobs with runs that no record has; version that will have them
+	suspendUnrecorded bool           // nothing may be started without a record
+	writesInFlight    int
+	passDue           bool // a scheduling pass is due
+	nextPass          time.Duration
+	nextFlush         time.Duration
+	sweep             int // number of the current sweep: one or more passes over all waiting steps
+	nextScan          time.Duration
+	nextDelete        time.Duration
+	deleting          bool                  // a deletion of old records is in flight
+	deleted           map[string]deletedJob // recently, by ID
+	queueTables       *work.Tables          // from which the jobs took their queues
+	runTimeRatios     runningMeans          // measured run time over the estimate, by queue
+	allowedFractions  runningMeans          // fraction of the queried workers that the adviser allows, by queue
+	ownershipLost     bool
+	waitLogsSince     time.Duration // start of the interval in which waitLogs lines were written
+	waitLogs          int           // lines on waiting steps in this interval
 }
 
 // Counters count the actions of the owner for the metrics.
@@ -152,6 +156,7 @@
 		tokenBuckets:     map[string]*sched.TokenBucket{},
 		dirty:            map[*job]bool{},
 		deleted:          map[string]deletedJob{},
+		unrecorded:       map[*job]int64{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
 		sweep:            1, // a new step has 0: not yet checked
--- a/internal/cell/policy_test.go
+++ b/internal/cell/policy_test.go
@@ -32,7 +32,7 @@
 
 // replaceOwner kills the owner, and a successor takes over half a second later.
 func (s *sim) replaceOwner() {
-	s.owner.killed = true
+	s.owner.kill()
 	s.run(s.now + 500*time.Millisecond)
 	s.claim()
 }
@@ -128,7 +128,7 @@
 			s.submit("a", newStep(1, 2*time.Second))
 			s.jobs["a"].spec.Payload, s.jobs["a"].spec.Policy = tc.payload, nil
 			s.run(40 * time.Millisecond)
-			s.owner.killed = true
+			s.owner.kill()
 			s.removeStoredPolicy("a") // the former version stored none
 			s.setQueue()
 			s.claim()
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -134,6 +134,9 @@
 		return
 	}
 	j.savedVersion = version
+	if o.unrecorded[j] <= version {
+		delete(o.unrecorded, j)
+	}
 	if j.version > version {
 		o.dirty[j] = true
 	}
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -212,6 +212,7 @@
 		r = &run{task: t, node: n, number: row.Run, state: runInherited, incarnation: n.incarnation}
 		o.adopt(r)
 		o.markDirty(j)
+		o.noteUnrecorded(j)
 	}
 	if r.state != runLive && r.state != runUncertain || r.liveSince == 0 {
 		r.state = runLive
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -131,6 +131,7 @@
 	if !o.StoreUp() && n.inDirectory && o.mayStartUnrecorded(o.Now()) {
 		// The store is unavailable, so no successor can have taken over: continue
 		// without a record.
+		o.noteUnrecorded(j)
 		o.sendStart(r)
 	}
 }
@@ -170,6 +171,9 @@
 	complete := !s.spec.Gang || !slices.ContainsFunc(due, func(r *run) bool { return !sendable(r) })
 	for _, r := range due {
 		if complete && sendable(r) {
+			if r.version > r.task.step.job.savedVersion {
+				o.noteUnrecorded(r.task.step.job)
+			}
 			o.sendStart(r)
 		} else {
 			o.detach(r)
@@ -207,6 +211,9 @@
 // before. A successor queries just these workers. Others may be listed that never respond,
 // such as entries of other writers.
 func (o *Owner) mayStartUnrecorded(now time.Duration) bool {
+	if o.suspendUnrecorded {
+		return false
+	}
 	known, confirmed := 0, 0
 	for _, n := range o.sortedNodes {
 		if !n.inDirectory {
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -38,6 +38,7 @@
 	listStale       bool          // the worker list is not read
 	replacedWorkers int           // workers that are gone for good
 	freshProcess    bool          // owners are processes that have just started
+	connected       bool          // successors have heard from their predecessor
 	processor       processor     // of the owners
 	adviser         simAdviser
 	// loseResponse and delayRequest are the probabilities of these faults per request.
@@ -96,6 +97,8 @@
 	rowRevision int64 // of the ownership row
 	frozen      bool
 	killed      bool
+	recorded    bool // when it was killed, all that might run was recorded
+	cut         bool // it cannot reach the store, which serves others
 	deferred    []func()      // callbacks that arrived while it was frozen
 	busyUntil   time.Duration // until when its processor is busy; see processor
 }
@@ -202,6 +205,12 @@
 	s.store.ownerRev = s.store.revision
 	rev := s.store.ownerRev
 	o := &simOwner{Owner: New(), sim: s, rowRevision: rev}
+	if former := s.owner; s.connected && former != nil {
+		o.Predecessor = PredecessorUnrecorded
+		if former.killed && former.recorded {
+			o.Predecessor = PredecessorRecorded
+		}
+	}
 	s.owner = o
 	s.tracef("owner of epoch %d takes over", s.epoch)
 	o.Epoch = s.epoch
@@ -209,7 +218,7 @@
 	o.Now = func() time.Duration { return s.now }
 	o.WallClock = func() time.Duration { return s.now }
 	o.Tables = func() *work.Tables { return s.tables }
-	o.StoreUp = func() bool { return !s.store.down }
+	o.StoreUp = func() bool { return !s.store.down && !o.cut }
 	processStart := -time.Hour
 	if s.freshProcess && s.now-s.store.lastFailure >= storeFailureMemory {
 		processStart = s.now
@@ -268,7 +277,7 @@
 	if o.killed {
 		return
 	}
-	if !o.sim.store.down && !o.sim.listStale {
+	if !o.sim.store.down && !o.cut && !o.sim.listStale {
 		o.call(func() {
 			o.SetWorkers(o.sim.list())
 			if o.sim.store.ownerRev != o.rowRevision || o.sim.now-o.sim.store.lastFailure < o.Bounds.StoreGrace {
@@ -312,6 +321,12 @@
 	}
 }
 
+// kill ends the process of the owner.
+func (o *simOwner) kill() {
+	o.recorded = o.Recorded()
+	o.killed = true
+}
+
 // freeze suspends the process of the owner for d.
 func (o *simOwner) freeze(d time.Duration) {
 	o.sim.tracef("epoch %d freezes for %s", o.Epoch, d)
@@ -424,6 +439,9 @@
 			s.store.lastFailure = s.now
 			answer(300 * time.Millisecond)
 			return
+		case o.cut:
+			answer(300 * time.Millisecond)
+			return
 		case s.store.ownerRev != ownerRev:
 			s.after(2*time.Millisecond, func() {
 				o.call(func() {
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -17,7 +17,7 @@
 	s.claim()
 	s.submit("a", newStep(8, 5*time.Second))
 	s.run(time.Second)
-	s.owner.killed = true
+	s.owner.kill()
 	s.run(3 * time.Second)
 	s.claim()
 	s.run(12 * time.Second)
@@ -46,7 +46,7 @@
 			s.run(1500 * time.Millisecond)
 			s.store.down = true
 			s.run(4500 * time.Millisecond)
-			s.owner.killed = true
+			s.owner.kill()
 			s.store.lastFailure = s.now
 			s.store.down = false
 			s.entriesExpired = true
@@ -86,7 +86,7 @@
 	s.run(time.Second)
 	s.workers["w02"].disconnect(time.Minute)
 	s.run(s.now + 4*time.Second)
-	s.owner.killed = true
+	s.owner.kill()
 	s.submit("a", newStep(2, time.Second))
 	s.run(s.now + 500*time.Millisecond)
 	s.claim()
@@ -100,7 +100,7 @@
 	s.claim()
 	s.run(time.Second)
 	s.freshProcess = true
-	s.owner.killed = true
+	s.owner.kill()
 	s.submit("a", newStep(2, time.Second))
 	s.workers["w02"].disconnect(time.Minute)
 	s.run(s.now + 500*time.Millisecond)
@@ -129,7 +129,7 @@
 			break
 		}
 	}
-	s.owner.killed = true
+	s.owner.kill()
 	s.freshProcess = true
 	s.claim()
 	s.run(s.now + 1500*time.Millisecond)
@@ -166,7 +166,7 @@
 	s.freshProcess = true
 	s.claim()
 	s.run(time.Second)
-	s.owner.killed = true
+	s.owner.kill()
 	s.submit("a", newStep(2, time.Second))
 	s.workers["w02"].replace(300 * time.Millisecond)
 	s.run(s.now + 500*time.Millisecond)
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/zeebo/errs"
 
+	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/peer"
 	"turmericspread.org/turmericspread/internal/work"
@@ -39,6 +40,11 @@
 	Instance string
 	Owner    bool // the responding host owns the cell or is loading it
 	Tables   tablesReply
+	// Recorded means that all that may run is in the records of the responding owner. It
+	// starts nothing without a record until storeUnavailableAfter after its last successful
+	// call to the store.
+	Recorded bool
+	StoreAge int64 // milliseconds since that call, rounded up
 }
 
 type storeReply struct {
@@ -84,6 +90,7 @@
 type handOverRequest struct {
 	Owner    ownerRow
 	Revision int64
+	Recorded bool // all that may run is in the records, and nothing is started without one
 }
 
 // handOverReply states whether the responding host owns the cell now.
@@ -112,6 +119,8 @@
 	out = &heartbeatReply{Instance: h.instance, Tables: h.tablesReplyFor(in.Tables, maxInlineUpdate)}
 	err = h.loop.Call(ctx, func() {
 		out.Owner = h.cellOwner != nil || h.loading()
+		out.Recorded = h.cellOwner != nil && h.cellOwner.Recorded()
+		out.StoreAge = time.Since(h.store.LastSuccess()).Milliseconds() + 1
 		h.lastHeartbeat[in.Member.Instance] = time.Now()
 		h.withoutStore[in.Member.Instance] = in.StoreLost
 		if h.applyMember(in.Member) {
@@ -358,7 +367,11 @@
 	h.spawn(func() {
 		defer close(done)
 		// The claim continues even if the caller stops waiting.
-		h.claimNow(h.runCtx, in.Owner, in.Revision)
+		predecessor := cell.PredecessorUnrecorded
+		if in.Recorded {
+			predecessor = cell.PredecessorRecorded
+		}
+		h.claimNow(h.runCtx, in.Owner, in.Revision, predecessor)
 		h.loop.Post(func() { h.claiming = false })
 	})
 	select {
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -17,13 +17,13 @@
 // claimAfterDelay claims the cell once the hosts that should claim it first have
 // had the time to do so. The claim succeeds only if the ownership row is still the
 // observed one.
-func (h *Host) claimAfterDelay(ctx context.Context, observed ownerRow, revision int64) {
+func (h *Host) claimAfterDelay(ctx context.Context, observed ownerRow, revision int64, predecessor cell.Predecessor) {
 	delay := h.claimDelay(observed)
 	sleep(ctx, delay)
 	if delay > 0 && !h.stillUnclaimed(ctx, revision) {
 		return
 	}
-	h.claimNow(ctx, observed, revision)
+	h.claimNow(ctx, observed, revision, predecessor)
 }
 
 // stillUnclaimed reports whether the ownership row still has the given
@@ -42,7 +42,7 @@
 
 // claimNow claims the cell without a delay and loads it. It repeats a failed
 // load until another host has claimed the cell.
-func (h *Host) claimNow(ctx context.Context, observed ownerRow, revision int64) {
+func (h *Host) claimNow(ctx context.Context, observed ownerRow, revision int64, predecessor cell.Predecessor) {
 	row := ownerRow{Name: h.Name, Instance: h.instance, Address: h.PeerAddress, Epoch: observed.Epoch + 1}
 	claimed, err := h.writeClaim(ctx, row, revision)
 	if err != nil {
@@ -65,7 +65,7 @@
 	progressed()
 	h.spawn(func() { h.writeLivenessMarkers(loadCtx, claimed) })
 	for ctx.Err() == nil {
-		err = h.takeOver(ctx, row, claimed, progressed)
+		err = h.takeOver(ctx, row, claimed, predecessor, progressed)
 		if err == nil {
 			h.stats.observe("takeover_seconds", callBuckets, time.Since(start))
 			return
@@ -118,7 +118,7 @@
 // takeOver loads the cell and starts its scheduling on this host. It waits until
 // this host has a configuration. It calls progressed for each page of the store that it
 // has read.
-func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, progressed func()) (err error) {
+func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, predecessor cell.Predecessor, progressed func()) (err error) {
 	var stored []cell.StoredJob
 	var workers, former []work.Worker
 	var watchFrom int64
@@ -140,6 +140,7 @@
 		h.carrierClient, h.carrierAddresses = h.newCarrierClient(), nil
 		h.chooseCarriers(max(len(workers), len(former)))
 		h.cellOwner = h.newOwner(ownerCtx, row, revision)
+		h.cellOwner.Predecessor = predecessor
 		h.cancelOwner = cancel
 		h.cellOwner.Restore(stored)
 		h.cellOwner.RestoreWorkers(former)
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -249,6 +249,7 @@
 		switch {
 		case err == nil && tables != nil:
 			h.tables.ConfirmLatest(tables.Version, sent)
+			h.loop.Post(h.resumeUnrecorded)
 		case errs.Is(err, kvstore.ErrConflict):
 			if revisionOf(found, ownerKey, ownerRev) != ownerRev {
 				h.post(func() { h.endOwnership("the ownership row has changed") })
@@ -262,6 +263,14 @@
 	}
 }
 
+// resumeUnrecorded allows starts without a record again after a write has shown that this
+// host still owns the cell.
+func (h *Host) resumeUnrecorded() {
+	if h.cellOwner != nil && !h.handingOver {
+		h.cellOwner.SuspendUnrecorded(false)
+	}
+}
+
 // revisionOf returns the revision of a key among items, or none if the key is
 // missing.
 func revisionOf(items []kvstore.Item, key string, none int64) int64 {
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -76,6 +76,7 @@
 	var row ownerRow
 	var revision int64
 	var candidates []memberRow
+	var recorded bool
 	err := h.loop.Call(ctx, func() {
 		if h.cellOwner == nil {
 			return
@@ -83,17 +84,23 @@
 		owner = true
 		row, revision = h.currentOwner, h.ownerRowRevision
 		candidates = h.handOverCandidates()
+		h.handingOver = true
+		h.cellOwner.SuspendUnrecorded(true)
+		recorded = h.cellOwner.Recorded()
 	})
 	if err != nil {
 		return false, false
 	}
+	// Unrecorded starts stay suspended until the next write of this owner succeeds: a
+	// candidate that did not answer may have claimed the cell.
+	defer func() { _ = h.loop.Call(ctx, func() { h.handingOver = false }) }()
 	for _, m := range candidates {
 		if ctx.Err() != nil {
 			return owner, false
 		}
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		reply, err := peer.Call[handOverRequest, handOverReply](callCtx, h.peers, m.Address, callHandOver, &handOverRequest{
-			Owner: row, Revision: revision,
+			Owner: row, Revision: revision, Recorded: recorded,
 		})
 		cancel()
 		if err == nil && reply.Taken {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -119,6 +119,8 @@
 	carrierAddresses []string
 	claiming         bool // a claim by this host is in progress
 	ownerSuspicion   suspicion
+	ownerRecord      ownerRecord
+	handingOver      bool // this host offers the cell to others
 }
 
 // view is a snapshot of the cell's state for other goroutines.
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
+	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/peer"
@@ -52,6 +53,28 @@
 	instance   string    // instance of the suspected owner
 	since      time.Time // time of the first missing response; zero: no suspicion
 	terminated bool      // its process is confirmed terminated
+	recorded   bool      // and had started nothing without a record before
+}
+
+// ownerRecord is what the last response of an owner shows about its records.
+type ownerRecord struct {
+	instance string
+	// until is the local time until which all that may run is recorded; 0: not recorded.
+	until time.Duration
+}
+
+// recordMargin is subtracted from the time until which an owner that does not respond
+// any more is known to have recorded its starts, because clocks differ in rate.
+const recordMargin = 50 * time.Millisecond
+
+// newOwnerRecord returns what a heartbeat response to a request sent at the given time
+// shows.
+func newOwnerRecord(reply *heartbeatReply, sent time.Duration) (r ownerRecord) {
+	r.instance = reply.Instance
+	if reply.Recorded {
+		r.until = sent - time.Duration(reply.StoreAge)*time.Millisecond + storeUnavailableAfter - recordMargin
+	}
+	return r
 }
 
 const (
@@ -282,7 +305,10 @@
 			if !reply.Tables.Whole && reply.Tables.Version > h.tablesVersion() {
 				h.refreshOnce() // too large for the heartbeat response
 			}
-			h.loop.Post(func() { h.ownerSuspicion = suspicion{} })
+			h.loop.Post(func() {
+				h.ownerSuspicion = suspicion{}
+				h.ownerRecord = newOwnerRecord(reply, sent)
+			})
 			continue
 		}
 		_ = h.loop.Call(ctx, func() { h.suspectOwner(v.owner, processTerminated, err) })
@@ -303,7 +329,23 @@
 		event.OwnerSuspected.Log(h.Log).Str("owner", owner.Name).Str("instance", owner.Instance).Bool("gone", processTerminated).
 			Err(err).Send()
 	}
-	h.ownerSuspicion.terminated = h.ownerSuspicion.terminated || processTerminated
+	if processTerminated && !h.ownerSuspicion.terminated {
+		h.ownerSuspicion.terminated = true
+		h.ownerSuspicion.recorded = h.ownerRecord.instance == owner.Instance && bootClock() < h.ownerRecord.until
+	}
+}
+
+// predecessor returns what this host knows of the starts of an owner that it replaces.
+func (h *Host) predecessor(owner ownerRow) cell.Predecessor {
+	switch {
+	case owner.Instance == "":
+		return cell.PredecessorUnknown
+	case h.ownerSuspicion.instance == owner.Instance && h.ownerSuspicion.recorded:
+		return cell.PredecessorRecorded
+	case owner.Instance != h.instance && h.ownerRecord.instance != owner.Instance && time.Since(h.started) < storeFailureMemory:
+		return cell.PredecessorUnknown
+	}
+	return cell.PredecessorUnrecorded
 }
 
 // considerClaim claims the cell if it has no owner, if the owner's process is
@@ -313,8 +355,9 @@
 	var due bool
 	var row ownerRow
 	var revision int64
+	var predecessor cell.Predecessor
 	_ = h.loop.Call(ctx, func() {
-		row, revision = h.currentOwner, h.ownerRowRevision
+		row, revision, predecessor = h.currentOwner, h.ownerRowRevision, h.predecessor(h.currentOwner)
 		due = h.claimDue()
 		if due {
 			h.claiming = true
@@ -324,7 +367,7 @@
 		return
 	}
 	h.spawn(func() {
-		h.claimAfterDelay(ctx, row, revision)
+		h.claimAfterDelay(ctx, row, revision, predecessor)
 		h.loop.Post(func() { h.claiming = false })
 	})
 }
--- a/internal/kvstore/kvstore.go
+++ b/internal/kvstore/kvstore.go
@@ -141,15 +141,30 @@
 	// LargeTimeout replaces Timeout, if longer, for calls with Request.Large.
 	LargeTimeout time.Duration
 
-	lastSuccess atomic.Int64 // Unix nanoseconds
-	lastFailure atomic.Int64 // Unix nanoseconds
+	lastSuccess atomic.Int64 // nanoseconds since clockStart; 0: none
+	lastFailure atomic.Int64 // nanoseconds since clockStart; 0: none
 }
 
-// LastSuccess returns the time of the last successful call.
-func (c *Client) LastSuccess() time.Time { return time.Unix(0, c.lastSuccess.Load()) }
+// clockStart is the origin of the times that a Client records. It has a reading of the
+// monotonic clock, so that steps of the time of day do not change the age of a call.
+var clockStart = time.Now()
 
-// LastFailure returns the time of the last failed call.
-func (c *Client) LastFailure() time.Time { return time.Unix(0, c.lastFailure.Load()) }
+// sinceStart returns the time since clockStart. It is never 0.
+func sinceStart() int64 { return max(int64(time.Since(clockStart)), 1) }
+
+// recordedTime returns a recorded time, or the zero time if there is none.
+func recordedTime(nanoseconds int64) time.Time {
+	if nanoseconds == 0 {
+		return time.Time{}
+	}
+	return clockStart.Add(time.Duration(nanoseconds))
+}
+
+// LastSuccess returns the time of the last successful call, or the zero time.
+func (c *Client) LastSuccess() time.Time { return recordedTime(c.lastSuccess.Load()) }
+
+// LastFailure returns the time of the last failed call, or the zero time.
+func (c *Client) LastFailure() time.Time { return recordedTime(c.lastFailure.Load()) }
 
 // Up reports whether the last call succeeded. It is true before the first call.
 func (c *Client) Up() bool { return c.lastSuccess.Load() >= c.lastFailure.Load() }
@@ -171,11 +186,11 @@
 	if err != nil {
 		// A call that its caller cancelled does not show that the store failed.
 		if !errors.Is(context.Cause(ctx), context.Canceled) && !errs.Is(err, ErrCompacted) {
-			c.lastFailure.Store(time.Now().UnixNano())
+			c.lastFailure.Store(sinceStart())
 		}
 		return Response{}, err
 	}
-	c.lastSuccess.Store(time.Now().UnixNano())
+	c.lastSuccess.Store(sinceStart())
 	return resp, nil
 }
 
