--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -97,8 +97,8 @@
 	rowRevision int64 // of the ownership row
 	frozen      bool
 	killed      bool
-	recorded    bool // when it was killed, all that might run was recorded
-	cut         bool // it cannot reach the store, which serves others
+	recorded    bool          // when it was killed, all that might run was recorded
+	cut         bool          // it cannot reach the store, which serves others
 	deferred    []func()      // callbacks that arrived while it was frozen
 	busyUntil   time.Duration // until when its processor is busy; see processor
 }
