fix: count the age of the worker list from the beginning of its read

Cause found in the source: the list shows the store at the beginning of the read, and its age counted from its application. A start whose record took long was sent without another check.

Change: the age counts from the beginning of the read and is checked when a start is sent. A list that takes long to read is read again sooner.

--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -73,10 +73,11 @@
 	return o.Bounds.StoreGrace
 }
 
-// SetWorkers applies the worker list.
-func (o *Owner) SetWorkers(list []work.Worker) {
+// SetWorkers applies the worker list. The reading of the list began at the local time
+// asOf, so changes since then may be missing in it.
+func (o *Owner) SetWorkers(list []work.Worker, asOf time.Duration) {
 	now := o.Now()
-	o.workersListedAt = now
+	o.workersListedAt = asOf
 	inList := make(map[string]bool, len(list))
 	for i := range list {
 		w := list[i]
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -106,7 +106,7 @@
 	jobs              map[string]*job
 	active            []*job // not terminal, by age
 	nodes             map[string]*node
-	workersListedAt   time.Duration              // when the worker list was last applied
+	workersListedAt   time.Duration              // when the reading of the last worker list began
 	sortedNodes       []*node                    // by ID
 	usage             map[string]resource.Vector // resources that runs occupy, by team
 	unresolved        resource.Vector            // capacity that unresolved runs of the predecessor may use
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -168,6 +168,10 @@
 		known := r.node.inDirectory || r.version <= r.task.step.job.savedVersion
 		return known && !r.stopping && r.node.usable(now) && r.incarnation == r.node.incarnation
 	}
+	if !o.listIsFresh(now) {
+		// The record took so long that workers may have started to drain.
+		sendable = func(*run) bool { return false }
+	}
 	complete := !s.spec.Gang || !slices.ContainsFunc(due, func(r *run) bool { return !sendable(r) })
 	for _, r := range due {
 		if complete && sendable(r) {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -42,9 +42,7 @@
 
 // schedule assigns waiting tasks to workers, in the order of their rank.
 func (o *Owner) schedule(now time.Duration) {
-	if o.StoreUp() && now-o.workersListedAt > maxListAge {
-		// A worker may have started to drain. If the store is unavailable, that cannot be
-		// known, and work continues with the last list.
+	if !o.listIsFresh(now) {
 		o.passDue = true
 		return
 	}
@@ -109,9 +107,16 @@
 // maxPassDelay bounds the delay between two passes.
 const maxPassDelay = 100 * time.Millisecond
 
-// maxListAge is the maximum age of the worker list with which work is started: a
+// listIsFresh reports whether work may be started by the last worker list. A worker may
+// have started to drain since. If the store is unavailable, that cannot be known, and work
+// continues with the last list.
+func (o *Owner) listIsFresh(now time.Duration) bool {
+	return !o.StoreUp() || now-o.workersListedAt <= MaxListAge
+}
+
+// MaxListAge is the maximum age of the worker list with which work is started: a
 // draining worker must get no work two seconds after it has announced the drain.
-const maxListAge = 1600 * time.Millisecond
+const MaxListAge = 1600 * time.Millisecond
 
 // unresolvedCapacity returns the capacity that unknown runs may use: starts of the
 // former owner without a record, on workers that have not responded yet.
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -36,6 +36,8 @@
 	entriesExpired  bool          // every other worker's entry in the store has expired
 	directory       []work.Worker // worker directory as the last owner recorded it
 	listStale       bool          // the worker list is not read
+	listInterval    time.Duration // between two reads of the worker list
+	listDelay       time.Duration // from the start of a read until it is applied
 	replacedWorkers int           // workers that are gone for good
 	freshProcess    bool          // owners are processes that have just started
 	connected       bool          // successors have heard from their predecessor
@@ -111,7 +113,7 @@
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, jobs: map[string]*simJob{},
 		store:     simStore{records: map[string]simRecord{}, lastFailure: -time.Hour},
-		ackedDone: map[string]bool{}, ackedFailures: map[string]int{},
+		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, listInterval: 400 * time.Millisecond,
 		adviser: simAdviser{hosts: 4, maxPending: 40 * time.Millisecond, allowedFraction: 2.0 / 3, validity: time.Second},
 	}
 	s.tables = &work.Tables{
@@ -257,7 +259,7 @@
 	}
 	o.Restore(stored)
 	o.RestoreWorkers(s.directory)
-	o.SetWorkers(s.list())
+	o.SetWorkers(s.list(), s.now)
 	o.tick()
 	o.refreshWorkers()
 }
@@ -278,8 +280,9 @@
 		return
 	}
 	if !o.sim.store.down && !o.cut && !o.sim.listStale {
-		o.call(func() {
-			o.SetWorkers(o.sim.list())
+		list, asOf := o.sim.list(), o.sim.now
+		apply := func() {
+			o.SetWorkers(list, asOf)
 			if o.sim.store.ownerRev != o.rowRevision || o.sim.now-o.sim.store.lastFailure < o.Bounds.StoreGrace {
 				return
 			}
@@ -287,9 +290,14 @@
 			if o.sim.rng.Float64() >= o.sim.store.loseWriteResponse {
 				o.WorkerDirectoryStored(o.sim.directory)
 			}
-		})
+		}
+		if o.sim.listDelay == 0 {
+			o.call(apply)
+		} else {
+			o.sim.after(o.sim.listDelay, func() { o.call(apply) })
+		}
 	}
-	o.sim.after(400*time.Millisecond, o.refreshWorkers)
+	o.sim.after(o.sim.listDelay+o.sim.listInterval, o.refreshWorkers)
 }
 
 // processor holds the processor time that actions of an owner cost. Each owner has a
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -24,11 +24,12 @@
 	unreachable  bool // no call reaches it
 	down         bool
 	unlisted     bool
-	staleEntry   *work.Worker // entry in the store while it is not that of this incarnation
-	replaced     bool         // another worker responds at its address
-	fails        bool         // every run fails
-	stalls       bool         // no run makes progress
-	slowdown     float64      // factor on run times; 0 means 1
+	drainingAt   time.Duration // when it began to drain
+	staleEntry   *work.Worker  // entry in the store while it is not that of this incarnation
+	replaced     bool          // another worker responds at its address
+	fails        bool          // every run fails
+	stalls       bool          // no run makes progress
+	slowdown     float64       // factor on run times; 0 means 1
 	waiters      []func()
 	startError   error          // response to every start
 	metric       int            // that it reports of each run
@@ -73,6 +74,16 @@
 	})
 }
 
+// drainBound is the time after which a draining worker must get no work.
+const drainBound = 2 * time.Second
+
+// drain marks the worker as draining.
+func (w *simWorker) drain() {
+	w.sim.tracef("%s drains", w.worker.ID)
+	w.worker.Draining, w.worker.Remaining = true, time.Hour
+	w.drainingAt = w.sim.now
+}
+
 // firstRunFails is the payload of a job of which the first run of each task fails at its end.
 const firstRunFails = "first run fails"
 
@@ -108,6 +119,9 @@
 	job := s.jobs[request.Task.Job]
 	step := &job.spec.Steps[request.Task.Step]
 	s.tracef("%s starts %s run %d fence %d", w.worker.ID, name, request.Run, request.Fence)
+	if w.worker.Draining && s.now > w.drainingAt+drainBound {
+		s.fatalf("%s starts on %s, which has been draining for %s", name, w.worker.ID, s.now-w.drainingAt)
+	}
 	if step.Label != "" && !w.worker.HasLabel(step.Label) {
 		s.fatalf("%s starts on %s, which lacks the label %s", name, w.worker.ID, step.Label)
 	}
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -122,6 +122,7 @@
 	var stored []cell.StoredJob
 	var workers, former []work.Worker
 	var watchFrom int64
+	listed := bootClock()
 	err = runConcurrently(
 		func() (err error) { stored, watchFrom, err = h.loadJobs(ctx, progressed); return err },
 		func() (err error) { workers, err = h.listWorkers(ctx); return err },
@@ -144,7 +145,7 @@
 		h.cancelOwner = cancel
 		h.cellOwner.Restore(stored)
 		h.cellOwner.RestoreWorkers(former)
-		h.cellOwner.SetWorkers(workers)
+		h.cellOwner.SetWorkers(workers, listed)
 		h.cellOwner.Tick()
 		h.publishView()
 	})
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -30,6 +30,10 @@
 	// maxWorkersInterval bounds the interval. A draining worker has to be
 	// recognised within two seconds.
 	maxWorkersInterval = 1200 * time.Millisecond
+	// minWorkersInterval is the minimum interval if a read takes long.
+	minWorkersInterval = 100 * time.Millisecond
+	// listMargin is the part of the list's maximum age that is left for its application.
+	listMargin = 100 * time.Millisecond
 )
 
 // storedDirectory is the worker directory in the store. It lists the workers that
@@ -47,16 +51,17 @@
 	interval := firstWorkersDelay
 	for ctx.Err() == nil {
 		sleep(ctx, interval)
+		asOf := bootClock()
 		workers, err := h.listWorkers(ctx)
 		if err != nil {
 			continue
 		}
-		interval = min(workersInterval+time.Duration(len(workers))*workersIntervalPerWorker, maxWorkersInterval)
+		interval = listInterval(len(workers), bootClock()-asOf)
 		var list []work.Worker
 		err = h.loop.Call(ctx, func() {
 			if h.cellOwner != nil {
 				h.chooseCarriers(len(workers))
-				h.cellOwner.SetWorkers(workers)
+				h.cellOwner.SetWorkers(workers, asOf)
 				list = h.cellOwner.WorkerDirectory()
 				h.cellOwner.Tick()
 			}
@@ -67,6 +72,13 @@
 	}
 }
 
+// listInterval returns the interval to the next read of a list of the given length. It is
+// shorter if a read takes long, because work is started only by a list that is fresh.
+func listInterval(workers int, took time.Duration) time.Duration {
+	interval := min(workersInterval+time.Duration(workers)*workersIntervalPerWorker, maxWorkersInterval)
+	return max(min(interval, cell.MaxListAge-2*took-listMargin), minWorkersInterval)
+}
+
 // workerRow contains what the next owner needs to reach a worker whose entry in
 // the worker list has expired.
 type workerRow struct {
--- a/internal/host/load_test.go
+++ b/internal/host/load_test.go
@@ -6,9 +6,11 @@
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/work"
@@ -164,3 +166,18 @@
 	assert.Assert(t, kept < maxKept, "%d bytes are kept of each job", kept)
 	runtime.KeepAlive(stored)
 }
+
+// TestListInterval checks that a list that takes long to read is read again before it is
+// too old to start work by it.
+func TestListInterval(t *testing.T) {
+	for _, tc := range []struct {
+		workers int
+		took    time.Duration
+	}{{48, 20 * time.Millisecond}, {350, 300 * time.Millisecond}, {3800, 100 * time.Millisecond}, {3800, 600 * time.Millisecond}} {
+		interval := listInterval(tc.workers, tc.took)
+		age := interval + 2*tc.took // when the next list is applied
+		assert.Assert(t, age < cell.MaxListAge, "%+v: %s", tc, age)
+		assert.Assert(t, interval >= minWorkersInterval && interval <= maxWorkersInterval, "%+v: %s", tc, interval)
+	}
+	assert.Equal(t, listInterval(48, time.Minute), minWorkersInterval)
+}
