fix: extend leases only while the ownership is confirmed

Callers would see tasks run twice after a partition that leaves the owner with some of the minions, and its successor with the store and the others.

Cause: an owner renewed the leases of every minion that it reached until one of them had seen a higher fencing token. A successor that cannot reach these minions takes their leases for expired.

Change: leases are extended only while a conditional write or most workers of the directory have confirmed the ownership within 2 s. A successor of an owner that may be alive adds these 2 s to the time at which a lease must have expired.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -107,8 +107,12 @@
 	n := o.nodes[id]
 	if n == nil {
 		n = &node{worker: work.Worker{ID: id}, runs: map[runKey]*run{}, missingSince: o.Now()}
-		// An earlier owner may have renewed its lease just before.
+		// An earlier owner may have renewed its lease just before, and one that is not known
+		// to have ended may still do so until its ownership is not confirmed any more.
 		n.leaseExpiry = o.Now() + o.maxLeaseSpan()
+		if o.Predecessor == PredecessorUnrecorded {
+			n.leaseExpiry += confirmationValidity
+		}
 		o.nodes[id] = n
 		at, _ := slices.BinarySearchFunc(o.sortedNodes, id, compareNode)
 		o.sortedNodes = slices.Insert(o.sortedNodes, at, n)
@@ -188,6 +192,7 @@
 
 // scanNodes performs the actions that are due for each worker.
 func (o *Owner) scanNodes(now time.Duration) {
+	o.majority = o.majorityConfirmed(now)
 	for _, n := range slices.Clone(o.sortedNodes) {
 		o.scanNode(n, now)
 		if !n.listed && len(n.runs) == 0 && !n.renewing && now > n.leaseExpiry && now > o.resolveUntil {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -103,36 +103,38 @@
 
 	Counters Counters
 
-	jobs              map[string]*job
-	active            []*job // not terminal, by age
-	nodes             map[string]*node
-	workersListedAt   time.Duration              // when the reading of the last worker list began
-	sortedNodes       []*node                    // by ID
-	usage             map[string]resource.Vector // resources that runs occupy, by team
-	unresolved        resource.Vector            // capacity that unresolved runs of the predecessor may use
-	unresolvedByTeam  map[string]resource.Vector // the same by team
-	tokenBuckets      map[string]*sched.TokenBucket
-	startedAt         time.Duration // when this owner took over
-	resolveUntil      time.Duration // until when starts wait for workers that have not responded
-	mayHaveUnrecorded bool          // the former owner may have started work without a record
-	dirty             map[*job]bool
-	unrecorded        map[*job]int64 // jobs with runs that no record has; version that will have them
-	suspendUnrecorded bool           // nothing may be started without a record
-	writesInFlight    int
-	passDue           bool // a scheduling pass is due
-	nextPass          time.Duration
-	nextFlush         time.Duration
-	sweep             int // number of the current sweep: one or more passes over all waiting steps
-	nextScan          time.Duration
-	nextDelete        time.Duration
-	deleting          bool                  // a deletion of old records is in flight
-	deleted           map[string]deletedJob // recently, by ID
-	queueTables       *work.Tables          // from which the jobs took their queues
-	runTimeRatios     runningMeans          // measured run time over the estimate, by queue
-	allowedFractions  runningMeans          // fraction of the queried workers that the adviser allows, by queue
-	ownershipLost     bool
-	waitLogsSince     time.Duration // start of the interval in which waitLogs lines were written
-	waitLogs          int           // lines on waiting steps in this interval
+	jobs                 map[string]*job
+	active               []*job // not terminal, by age
+	nodes                map[string]*node
+	workersListedAt      time.Duration              // when the reading of the last worker list began
+	sortedNodes          []*node                    // by ID
+	usage                map[string]resource.Vector // resources that runs occupy, by team
+	unresolved           resource.Vector            // capacity that unresolved runs of the predecessor may use
+	unresolvedByTeam     map[string]resource.Vector // the same by team
+	tokenBuckets         map[string]*sched.TokenBucket
+	startedAt            time.Duration // when this owner took over
+	resolveUntil         time.Duration // until when starts wait for workers that have not responded
+	mayHaveUnrecorded    bool          // the former owner may have started work without a record
+	dirty                map[*job]bool
+	unrecorded           map[*job]int64 // jobs with runs that no record has; version that will have them
+	suspendUnrecorded    bool           // nothing may be started without a record
+	ownershipConfirmedAt time.Duration  // by the store
+	majority             bool           // majorityConfirmed in the last scan
+	writesInFlight       int
+	passDue              bool // a scheduling pass is due
+	nextPass             time.Duration
+	nextFlush            time.Duration
+	sweep                int // number of the current sweep: one or more passes over all waiting steps
+	nextScan             time.Duration
+	nextDelete           time.Duration
+	deleting             bool                  // a deletion of old records is in flight
+	deleted              map[string]deletedJob // recently, by ID
+	queueTables          *work.Tables          // from which the jobs took their queues
+	runTimeRatios        runningMeans          // measured run time over the estimate, by queue
+	allowedFractions     runningMeans          // fraction of the queried workers that the adviser allows, by queue
+	ownershipLost        bool
+	waitLogsSince        time.Duration // start of the interval in which waitLogs lines were written
+	waitLogs             int           // lines on waiting steps in this interval
 }
 
 // Counters count the actions of the owner for the metrics.
--- a/internal/cell/predecessor_test.go
+++ b/internal/cell/predecessor_test.go
@@ -76,3 +76,23 @@
 	s.assertState("a", work.StateCompleted)
 	assert.Equal(t, s.starts, 32, "each task is started once")
 }
+
+// TestIsolatedOwnerLetsLeasesExpire guards against tasks that run twice: a network partition
+// leaves an owner with some of the workers, and the store and the other workers with its
+// successor, which restarts the tasks of the workers that it cannot reach.
+func TestIsolatedOwnerLetsLeasesExpire(t *testing.T) {
+	s := newSim(t, 1, 6)
+	s.connected = true
+	s.claim()
+	s.submit("a", newStep(24, 20*time.Second))
+	s.run(time.Second)
+	former := s.owner
+	former.cut, former.unreachable = true, map[string]bool{"w02": true, "w03": true, "w04": true, "w05": true}
+	s.run(2200 * time.Millisecond)
+	s.claim()
+	s.owner.unreachable = map[string]bool{"w00": true, "w01": true}
+	s.run(30 * time.Second)
+	s.owner.unreachable = nil
+	s.run(90 * time.Second)
+	s.assertState("a", work.StateCompleted)
+}
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -12,13 +12,13 @@
 )
 
 // renew renews the worker's lease and queries its running tasks and ended runs. If the
-// previous renewal was not answered or the worker's clock is unknown, the request only
-// queries the worker. Each renewal postpones the time at which the worker's lease must
+// previous renewal was not answered, the worker's clock is unknown or the ownership is not
+// confirmed, the request only queries the worker. Each renewal postpones the time at which the worker's lease must
 // have expired, even if it is not answered. For an unresponsive worker that time must
 // be reached, because only then can its tasks be restarted elsewhere.
 func (o *Owner) renew(n *node, now time.Duration) {
 	request := work.RenewRequest{Fence: n.fence(o.Epoch), AckedThrough: n.acknowledge()}
-	if n.missedRenewals == 0 && n.clock != 0 {
+	if n.missedRenewals == 0 && n.clock != 0 && o.mayExtendLeases(now) {
 		request.Deadline = n.clockAt(now) + o.Bounds.MaxLease
 		n.extendLease(now, o.Bounds.MaxLease)
 		if len(n.unackedEnds) == 0 {
@@ -120,7 +120,10 @@
 	if len(n.unackedEnds) > 0 && !o.StoreUp() {
 		n.nextRenewal = received + probeInterval
 	}
-	if request.Deadline == 0 {
+	switch {
+	case !o.mayExtendLeases(received):
+		n.nextRenewal = received + probeInterval
+	case request.Deadline == 0:
 		// The lease was not renewed: renew it now that the clock is known.
 		n.nextRenewal = received
 	}
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -209,26 +209,10 @@
 // observed a store failure waits longer than this and startDeadline together.
 const confirmationValidity = 2 * time.Second
 
-// mayStartUnrecorded reports whether this owner may start work without a record:
-// a majority of the workers in the stored directory responded under its fencing token to
-// calls sent within confirmationValidity, so no successor had fenced a majority of them
-// before. A successor queries just these workers. Others may be listed that never respond,
-// such as entries of other writers.
+// mayStartUnrecorded reports whether this owner may start work without a record: no
+// successor had fenced a majority of the workers that it queries before the last responses.
 func (o *Owner) mayStartUnrecorded(now time.Duration) bool {
-	if o.suspendUnrecorded {
-		return false
-	}
-	known, confirmed := 0, 0
-	for _, n := range o.sortedNodes {
-		if !n.inDirectory {
-			continue
-		}
-		known++
-		if n.responded && now-n.confirmedAt < confirmationValidity {
-			confirmed++
-		}
-	}
-	return 2*confirmed > known
+	return !o.suspendUnrecorded && o.majorityConfirmed(now)
 }
 
 // sendStart sends the start of a planned run. The worker may execute it within
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -99,10 +99,11 @@
 	rowRevision int64 // of the ownership row
 	frozen      bool
 	killed      bool
-	recorded    bool          // when it was killed, all that might run was recorded
-	cut         bool          // it cannot reach the store, which serves others
-	deferred    []func()      // callbacks that arrived while it was frozen
-	busyUntil   time.Duration // until when its processor is busy; see processor
+	recorded    bool            // when it was killed, all that might run was recorded
+	cut         bool            // it cannot reach the store, which serves others
+	unreachable map[string]bool // workers that it cannot reach
+	deferred    []func()        // callbacks that arrived while it was frozen
+	busyUntil   time.Duration   // until when its processor is busy; see processor
 }
 
 const simLatency = time.Millisecond
@@ -283,6 +284,9 @@
 		list, asOf := o.sim.list(), o.sim.now
 		apply := func() {
 			o.SetWorkers(list, asOf)
+			if o.sim.store.ownerRev == o.rowRevision {
+				o.ConfirmOwnership(asOf)
+			}
 			if o.sim.store.ownerRev != o.rowRevision || o.sim.now-o.sim.store.lastFailure < o.Bounds.StoreGrace {
 				return
 			}
@@ -356,7 +360,7 @@
 	s := o.sim
 	sw := s.workers[w.ID]
 	noResponse := func() { s.after(600*time.Millisecond, func() { o.call(func() { done(work.RunResponse{}, errLost) }) }) }
-	if sw == nil || sw.unreachable || sw.down {
+	if sw == nil || sw.unreachable || sw.down || o.unreachable[w.ID] {
 		noResponse()
 		return
 	}
@@ -398,11 +402,11 @@
 		}
 	}
 	s.after(request.Wait+500*time.Millisecond, func() { finish(work.RenewResponse{}, errLost) })
-	if sw == nil || sw.unreachable || sw.down {
+	if sw == nil || sw.unreachable || sw.down || o.unreachable[w.ID] {
 		return
 	}
 	s.after(simLatency, func() {
-		if sw.unreachable || sw.down {
+		if sw.unreachable || sw.down || o.unreachable[w.ID] {
 			return
 		}
 		if err := sw.renew(request); err != nil {
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -44,6 +44,7 @@
 // load until another host has claimed the cell.
 func (h *Host) claimNow(ctx context.Context, observed ownerRow, revision int64, predecessor cell.Predecessor) {
 	row := ownerRow{Name: h.Name, Instance: h.instance, Address: h.PeerAddress, Epoch: observed.Epoch + 1}
+	sent := bootClock()
 	claimed, err := h.writeClaim(ctx, row, revision)
 	if err != nil {
 		event.ClaimFailed.Log(h.Log).Int64("epoch", row.Epoch).Int64("revision", revision).Err(err).Send()
@@ -66,6 +67,7 @@
 	h.spawn(func() { h.writeLivenessMarkers(loadCtx, claimed) })
 	for ctx.Err() == nil {
 		err = h.takeOver(ctx, row, claimed, predecessor, progressed)
+		_ = h.loop.Call(ctx, func() { h.confirmOwnership(sent) })
 		if err == nil {
 			h.stats.observe("takeover_seconds", callBuckets, time.Since(start))
 			return
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -261,7 +261,7 @@
 		switch {
 		case err == nil && tables != nil:
 			h.tables.ConfirmLatest(tables.Version, sent)
-			h.loop.Post(h.resumeUnrecorded)
+			h.loop.Post(func() { h.confirmOwnership(sent) })
 		case errs.Is(err, kvstore.ErrConflict):
 			if revisionOf(found, ownerKey, ownerRev) != ownerRev {
 				h.post(func() { h.endOwnership("the ownership row has changed") })
@@ -275,10 +275,14 @@
 	}
 }
 
-// resumeUnrecorded allows starts without a record again after a write has shown that this
-// host still owns the cell.
-func (h *Host) resumeUnrecorded() {
-	if h.cellOwner != nil && !h.handingOver {
+// confirmOwnership records that this host owned the cell at the given local time. Starts
+// without a record are allowed again, unless a handover is in progress.
+func (h *Host) confirmOwnership(at time.Duration) {
+	if h.cellOwner == nil {
+		return
+	}
+	h.cellOwner.ConfirmOwnership(at)
+	if !h.handingOver {
 		h.cellOwner.SuspendUnrecorded(false)
 	}
 }
