--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -371,8 +371,10 @@
 	o.DeleteJobs(batch, func(ok bool) {
 		if ok {
 			for _, id := range batch {
-				o.deleted[id] = deletedJob{accepted: o.jobs[id].spec.Accepted, at: o.Now()}
-				delete(o.jobs, id)
+				if j := o.jobs[id]; j != nil {
+					o.deleted[id] = deletedJob{accepted: j.spec.Accepted, at: o.Now()}
+					delete(o.jobs, id)
+				}
 			}
 			ids = ids[len(batch):]
 		}
@@ -418,14 +420,11 @@
 func (o *Owner) Restore(stored []StoredJob) {
 	now := o.Now()
 	o.startedAt = now
-	unrecorded := o.Predecessor == PredecessorUnrecorded
-	if o.Predecessor == PredecessorUnknown {
-		unrecorded = o.SinceStoreFailure() < storeFailureMemory
-	}
-	if unrecorded {
+	unknown := o.Predecessor == PredecessorUnknown
+	o.mayHaveUnrecorded = o.Predecessor == PredecessorUnrecorded || unknown && o.StoreFailedRecently()
+	if o.mayHaveUnrecorded || unknown && o.SinceStoreFailure() < storeFailureMemory {
 		o.resolveUntil = now + o.maxLeaseSpan() + unrecordedStartSpan
 	}
-	o.mayHaveUnrecorded = o.Predecessor == PredecessorUnrecorded || o.Predecessor == PredecessorUnknown && o.StoreFailedRecently()
 	slices.SortFunc(stored, func(a, b StoredJob) int { return cmp.Compare(a.Job.Accepted, b.Job.Accepted) })
 	for i := range stored {
 		o.restoreJob(&stored[i])
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -63,8 +63,8 @@
 }
 
 // resolveTimeout is how long starts wait for a worker of the former owner that does
-// not respond. If the former owner is not known to have started work without a record, a worker whose list entry has
-// expired either has terminated or is listed again within the grace period. Later
+// not respond. If nothing points to starts without a record, a worker whose list entry
+// has expired either has terminated or is listed again within the grace period. Later
 // store failures concern only work of this owner.
 func (o *Owner) resolveTimeout(n *node) time.Duration {
 	if o.mayHaveUnrecorded || n.listed {
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -13,9 +13,10 @@
 
 // renew renews the worker's lease and queries its running tasks and ended runs. If the
 // previous renewal was not answered, the worker's clock is unknown or the ownership is not
-// confirmed, the request only queries the worker. Each renewal postpones the time at which the worker's lease must
-// have expired, even if it is not answered. For an unresponsive worker that time must
-// be reached, because only then can its tasks be restarted elsewhere.
+// confirmed, the request only queries the worker. Each renewal postpones the time at
+// which the worker's lease must have expired, even if it is not answered. For an
+// unresponsive worker that time must be reached, because only then can its tasks be
+// restarted elsewhere.
 func (o *Owner) renew(n *node, now time.Duration) {
 	request := work.RenewRequest{Fence: n.fence(o.Epoch), AckedThrough: n.acknowledge()}
 	if n.missedRenewals == 0 && n.clock != 0 && o.mayExtendLeases(now) {
