fix: keep the fencing token of a worker that leaves the list and returns

Callers would see accepted work stand still for a takeover that nobody needed.

Cause: the owner forgot a worker that was unlisted and ran nothing, with the increments of its fencing token. When the worker returned, it rejected the lower token, and the owner gave the cell up.

Change: the increments are kept while the ownership lasts.

Measured: TestReturningWorkerKeepsItsToken failed before (ownership lost) and passes.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -106,7 +106,7 @@
 func (o *Owner) node(id string) *node {
 	n := o.nodes[id]
 	if n == nil {
-		n = &node{worker: work.Worker{ID: id}, runs: map[runKey]*run{}, missingSince: o.Now()}
+		n = &node{worker: work.Worker{ID: id}, runs: map[runKey]*run{}, missingSince: o.Now(), fenceSeq: o.removedFences[id]}
 		// An earlier owner may have renewed its lease just before, and one that is not known
 		// to have ended may still do so until its ownership is not confirmed any more.
 		n.leaseExpiry = o.Now() + o.maxLeaseSpan()
@@ -124,6 +124,9 @@
 
 func (o *Owner) removeNode(n *node) {
 	delete(o.nodes, n.worker.ID)
+	if n.fenceSeq > 0 {
+		o.removedFences[n.worker.ID] = n.fenceSeq
+	}
 	if at, ok := slices.BinarySearchFunc(o.sortedNodes, n.worker.ID, compareNode); ok {
 		o.sortedNodes = slices.Delete(o.sortedNodes, at, at+1)
 	}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -108,6 +108,7 @@
 	nodes                map[string]*node
 	workersListedAt      time.Duration              // when the reading of the last worker list began
 	sortedNodes          []*node                    // by ID
+	removedFences        map[string]int64           // increments of the fencing token of removed workers, which may return
 	usage                map[string]resource.Vector // resources that runs occupy, by team
 	unresolved           resource.Vector            // capacity that unresolved runs of the predecessor may use
 	unresolvedByTeam     map[string]resource.Vector // the same by team
@@ -159,6 +160,7 @@
 		dirty:            map[*job]bool{},
 		deleted:          map[string]deletedJob{},
 		unrecorded:       map[*job]int64{},
+		removedFences:    map[string]int64{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
 		sweep:            1, // a new step has 0: not yet checked
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/work"
 )
@@ -40,3 +42,24 @@
 		})
 	}
 }
+
+// TestReturningWorkerKeepsItsToken guards against an owner that loses the cell to itself: it
+// raised the fencing token of a worker, forgot the worker while the list lacked it, and used
+// the lower token when the worker was back.
+func TestReturningWorkerKeepsItsToken(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.claim()
+	s.submit("a", newStep(16, time.Second))
+	s.run(500 * time.Millisecond)
+	w := s.workers["w03"]
+	w.unreachable = true // its lease expires
+	s.run(9 * time.Second)
+	w.unreachable = false
+	s.run(10 * time.Second)
+	w.unlisted = true
+	s.run(30 * time.Second)
+	assert.Assert(t, s.owner.nodes["w03"] == nil, "the owner has forgotten the worker")
+	w.unlisted = false
+	s.run(32 * time.Second)
+	assert.Assert(t, !s.owner.ownershipLost)
+}
