fix: withdraw recorded starts that cannot be sent

Callers would see jobs that stay running and never end.

Cause: a start whose record was confirmed as the store became unavailable was withheld if the owner may start nothing without a record, and no later write sent it.

Change: the start is withdrawn, and the task waits again. A withdrawn start was never sent, so the task may run elsewhere.

--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -137,21 +137,26 @@
 }
 
 // sendPlannedStarts sends the starts that are recorded up to the given version. If
-// the store is unavailable, it sends them without a record, provided that
-// mayStartUnrecorded allows it.
+// the store is unavailable, it sends all planned starts, provided that
+// mayStartUnrecorded allows it, and otherwise withdraws those that are recorded.
 func (o *Owner) sendPlannedStarts(j *job, version int64) {
 	if o.ownershipLost {
 		return
 	}
-	if !o.StoreUp() && !o.mayStartUnrecorded(o.Now()) {
-		return
-	}
+	storeUp := o.StoreUp()
+	unrecorded := !storeUp && o.mayStartUnrecorded(o.Now())
 	for _, s := range j.steps {
 		var due []*run
 		for _, t := range s.tasks {
-			for _, r := range t.runs {
-				if r.state == runPlanned && (r.version <= version || !o.StoreUp()) {
+			for _, r := range slices.Clone(t.runs) {
+				switch {
+				case r.state != runPlanned:
+				case unrecorded || storeUp && r.version <= version:
 					due = append(due, r)
+				case r.version <= j.savedVersion:
+					// The store became unavailable after it had recorded the start. No later
+					// write would send it.
+					o.detach(r)
 				}
 			}
 		}
