fix: offer the cell only while other hosts reach the store for its owner

Callers saw accepted work stand still during an outage: in plays of TestPartitions the owner started nothing for 14 s although it reached most minions.

Cause: between the failure of the direct path and that of the first whole call, an outage of the store looks like one of the direct path only. The owner offered the cell to other hosts, and after an offer starts without a record are suspended until the store answers.

Change: the offer requires a success within the time in which no call may have failed.

Measured: the case "no call has failed yet, and none succeeds" of TestRelayed fails with the former condition. The handover tests of platform pass.

--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -46,7 +46,7 @@
 			if len(list) == 0 || h.withoutStore[list[0].Instance] {
 				return
 			}
-			withoutDirectAccess := h.relay.DirectOutage() >= maxDirectOutage && time.Since(h.store.LastFailure()) >= minRelayedService
+			withoutDirectAccess := relayed(h.relay.DirectOutage(), time.Since(h.store.LastFailure()), time.Since(h.store.LastSuccess()))
 			stronger := list[0].CPUShare >= handOverCPURatio*h.CPUShare
 			weaker := h.CPUShare >= handOverCPURatio*list[0].CPUShare
 			better = withoutDirectAccess && !weaker || stronger && time.Since(start) >= minOwnershipTime
@@ -57,6 +57,14 @@
 	}
 }
 
+// relayed reports whether the store serves this host through other hosts only. A call
+// without a response fails some time after the direct path, so the last success must be
+// recent: an offer of the cell in an outage of the whole store would suspend starts without
+// a record.
+func relayed(directOutage, sinceFailure, sinceSuccess time.Duration) bool {
+	return directOutage >= maxDirectOutage && sinceFailure >= minRelayedService && sinceSuccess < minRelayedService
+}
+
 // handOver hands the cell over to another host and retries until one has taken
 // it.
 func (h *Host) handOver(ctx context.Context) {
