fix: let a successor act only once half of the former owner's workers are fenced

Cause: an owner acts without the store while most workers confirm its ownership. A successor that reached few of them acted from its claim on. The former owner took the leases of the successor's workers for expired, although the successor had extended them, and started tasks again that had ended there.

Evidence: the logs of both hosts. Run 1001 of a task ended as done on i-1, which only the successor reached and acknowledged; 4.6 s later the former owner logged the run as lost (lease ended) and started run 1002 on i-6, under a lower fencing token.

Change: a successor of an owner that may be alive starts nothing, extends no lease and acknowledges no end before half of the stored worker directory has responded under its token, and for 2.3 s more; the former owner needs a majority of the same directory. An owner that hears neither the store nor another host for 20 s stops, so that a successor with few workers goes on after 22 s. Heartbeats and handovers tell whether an owner is the only one that acts. The wait for workers that do not respond is a lease more (8.8 s, was 10.3 s), and a lease (6.5 s) if the former owner has terminated: starts and extensions end at the same time, so their times need not be added.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -391,10 +391,6 @@
 	// its predecessor may have started work without a record: the longest lease of
 	// such work.
 	storeFailureMemory = 10 * time.Second
-	// unrecordedStartSpan is how long a predecessor may continue to start work
-	// without a record. A new owner waits for this time and for the leases granted
-	// within it, unless all workers have responded under its fencing token.
-	unrecordedStartSpan = confirmationValidity + startDeadline + leaseMargin
 )
 
 // StoredJob is the stored data of one job.
@@ -423,14 +419,17 @@
 	unknown := o.Predecessor == PredecessorUnknown
 	o.mayHaveUnrecorded = o.Predecessor == PredecessorUnrecorded || unknown && o.StoreFailedRecently()
 	if o.mayHaveUnrecorded || unknown && o.SinceStoreFailure() < storeFailureMemory {
-		o.resolveUntil = now + o.maxLeaseSpan() + unrecordedStartSpan
+		o.resolveUntil = now + o.takeoverSpan()
+	}
+	if o.PredecessorAlive {
+		o.awaitPredecessor(now)
 	}
 	slices.SortFunc(stored, func(a, b StoredJob) int { return cmp.Compare(a.Job.Accepted, b.Job.Accepted) })
 	for i := range stored {
 		o.restoreJob(&stored[i])
 	}
 	event.CellRestored.Log(o.Log).Int64("epoch", o.Epoch).Int("jobs", len(o.jobs)).Int("open", len(o.active)).
-		Stringer("predecessor", o.Predecessor).Dur("resolve", max(o.resolveUntil-now, 0)).Send()
+		Stringer("predecessor", o.Predecessor).Bool("alive", o.PredecessorAlive).Dur("resolve", max(o.resolveUntil-now, 0)).Send()
 }
 
 // restoreJob rebuilds a job. Recorded runs count as running on their worker until
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -15,6 +15,7 @@
 		n := o.node(list[i].ID)
 		n.worker = list[i]
 		n.fromPredecessor, n.inDirectory = true, true
+		n.formerDirectory, n.lastDirectory, n.savedDirectory = true, true, true
 		n.nextRenewal = o.Now()
 	}
 }
@@ -24,24 +25,34 @@
 // given work, workers that may run something that is not recorded yet, and
 // unresolved workers of earlier owners. A worker that is not in the directory gets
 // no work without a record from now on.
-func (o *Owner) WorkerDirectory() (list []work.Worker) {
+//
+// The directory stays as it is until the former owner is fenced: half of the workers that
+// the former owner depends on must not be those that were added since.
+func (o *Owner) WorkerDirectory() (list []work.Worker, ok bool) {
+	if o.unestablished {
+		return nil, false
+	}
 	now := o.Now()
 	for _, n := range o.sortedNodes {
 		responding := n.listed && n.responded && n.missedRenewals < unresponsiveMisses && !n.worker.Draining
-		if responding || n.mayRunUnrecorded() || o.mayRunUnknown(n, now) {
+		n.lastDirectory = responding || n.mayRunUnrecorded() || o.mayRunUnknown(n, now)
+		if n.lastDirectory {
 			list = append(list, n.worker)
 			continue
 		}
 		n.inDirectory = false
 	}
-	return list
+	return list, true
 }
 
 // WorkerDirectoryStored records that a worker directory is in the store.
 func (o *Owner) WorkerDirectoryStored(list []work.Worker) {
+	for _, n := range o.sortedNodes {
+		n.savedDirectory = false
+	}
 	for i := range list {
 		if n := o.nodes[list[i].ID]; n != nil {
-			n.inDirectory = true
+			n.inDirectory, n.savedDirectory = true, true
 		}
 	}
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -21,6 +21,9 @@
 	listed          bool
 	fromPredecessor bool          // listed in the worker directory of a former owner
 	inDirectory     bool          // in the stored worker directory, so work may start there without a record
+	formerDirectory bool          // in the stored worker directory at the takeover
+	lastDirectory   bool          // in the last worker directory, which may not be stored yet
+	savedDirectory  bool          // in the last worker directory that is known to be stored
 	missingSince    time.Duration // since when the worker list lacks it
 	runs            map[runKey]*run
 	used            resource.Vector
@@ -107,12 +110,8 @@
 	n := o.nodes[id]
 	if n == nil {
 		n = &node{worker: work.Worker{ID: id}, runs: map[runKey]*run{}, missingSince: o.Now(), fenceSeq: o.removedFences[id]}
-		// An earlier owner may have renewed its lease just before, and one that is not known
-		// to have ended may still do so until its ownership is not confirmed any more.
-		n.leaseExpiry = o.Now() + o.maxLeaseSpan()
-		if o.Predecessor == PredecessorUnrecorded {
-			n.leaseExpiry += confirmationValidity
-		}
+		// An earlier owner may have renewed its lease just before.
+		n.leaseExpiry = o.Now() + o.takeoverSpan()
 		o.nodes[id] = n
 		at, _ := slices.BinarySearchFunc(o.sortedNodes, id, compareNode)
 		o.sortedNodes = slices.Insert(o.sortedNodes, at, n)
@@ -196,6 +195,7 @@
 // scanNodes performs the actions that are due for each worker.
 func (o *Owner) scanNodes(now time.Duration) {
 	o.majority = o.majorityConfirmed(now)
+	o.establish(now)
 	for _, n := range slices.Clone(o.sortedNodes) {
 		o.scanNode(n, now)
 		if !n.listed && len(n.runs) == 0 && !n.renewing && now > n.leaseExpiry && now > o.resolveUntil {
@@ -208,7 +208,7 @@
 // scanNode frees the runs of the worker if its lease has expired without a response,
 // repeats stops that are not resolved, and sends the next renewal when it is due.
 func (o *Owner) scanNode(n *node, now time.Duration) {
-	if len(n.runs) > 0 && now >= n.leaseExpiry && (n.missedRenewals != 0 || !n.responded) {
+	if len(n.runs) > 0 && now >= n.leaseExpiry && !o.passive(now) && (n.missedRenewals != 0 || !n.responded) {
 		o.expireLease(n, now)
 	}
 	for _, r := range sortedRuns(n) {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -78,6 +78,10 @@
 	StoreFailedRecently func() bool
 	// Predecessor is what is known of the starts of the former owner. Set it before Restore.
 	Predecessor Predecessor
+	// PredecessorAlive means that a former owner may still act. Set it before Restore.
+	PredecessorAlive bool
+	// Isolated reports whether no other host was heard from for long, although there are some.
+	Isolated func() bool
 	// OnOwnershipLost is called once when a higher fencing token or another owner is
 	// observed.
 	OnOwnershipLost func(reason string)
@@ -114,6 +118,9 @@
 	unresolvedByTeam     map[string]resource.Vector // the same by team
 	tokenBuckets         map[string]*sched.TokenBucket
 	startedAt            time.Duration // when this owner took over
+	unestablished        bool          // a former owner that may be alive may act beside this one
+	soleFrom             time.Duration // from when no former owner acts any more
+	passiveUntil         time.Duration // until when this owner starts nothing and extends no leases
 	resolveUntil         time.Duration // until when starts wait for workers that have not responded
 	mayHaveUnrecorded    bool          // the former owner may have started work without a record
 	dirty                map[*job]bool
@@ -153,6 +160,7 @@
 		OnStepStarted:    func(string, time.Duration) {},
 		OnJobEnded:       func(string, work.State, time.Duration) {},
 		OnStepWaited:     func(string, WaitReason, time.Duration) {},
+		Isolated:         func() bool { return false },
 		jobs:             map[string]*job{},
 		nodes:            map[string]*node{},
 		usage:            map[string]resource.Vector{},
--- a/internal/cell/predecessor.go
+++ b/internal/cell/predecessor.go
@@ -1,6 +1,10 @@
 package cell
 
-import "time"
+import (
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+)
 
 // Predecessor is what a new owner knows of the starts that the former owner made without
 // a record.
@@ -23,16 +27,80 @@
 }
 
 // Recorded reports whether a successor finds all that may run in the records: this owner
-// has recorded all its starts and all runs that it has adopted, and no worker of a former
-// owner may have others.
+// has recorded all its starts and all runs that it has adopted, no worker of a former
+// owner may have others, and no former owner may still make any.
 func (o *Owner) Recorded() bool {
-	if len(o.unrecorded) > 0 {
+	now := o.Now()
+	if len(o.unrecorded) > 0 || !o.Sole() {
 		return false
 	}
-	now := o.Now()
 	return now >= o.resolveUntil || o.unresolvedCapacity(now).IsZero()
 }
 
+// Sole reports whether no former owner can act any more.
+func (o *Owner) Sole() bool { return !o.unestablished && o.Now() >= o.soleFrom }
+
+// passive reports whether a former owner may still act on the same tasks. Until then this
+// owner only queries the workers: it starts nothing, extends no lease and acknowledges no
+// end, because a former owner restarts the tasks of workers that it cannot reach once it
+// takes their leases for expired.
+func (o *Owner) passive(now time.Duration) bool { return o.unestablished || now < o.passiveUntil }
+
+// maxPassive is how long a new owner waits for half of the former owner's workers. A former
+// owner that other hosts do not reach stops after MaxIsolation, and hosts that have access
+// to the store follow the new owner within two seconds.
+const maxPassive = MaxIsolation + 2*time.Second
+
+// awaitPredecessor begins a takeover from an owner that may be alive.
+func (o *Owner) awaitPredecessor(now time.Duration) {
+	o.unestablished, o.mayHaveUnrecorded = true, true
+	o.resolveUntil = now + maxPassive + o.takeoverSpan()
+}
+
+// establish ends the passive phase of a takeover if half of the former owner's workers have
+// responded under this owner's fencing token. The former owner acts without the store only
+// while a majority of them has confirmed its ownership within confirmationValidity.
+func (o *Owner) establish(now time.Duration) {
+	if !o.unestablished {
+		return
+	}
+	former, responded := 0, 0
+	for _, n := range o.sortedNodes {
+		if n.formerDirectory {
+			former++
+			if n.responded || !n.fromPredecessor {
+				responded++
+			}
+		}
+	}
+	if 2*responded < former && now-o.startedAt < maxPassive {
+		return
+	}
+	o.unestablished = false
+	o.soleFrom = now + confirmationValidity + leaseMargin
+	o.passiveUntil = o.soleFrom
+	o.resolveUntil = now + o.takeoverSpan()
+	for _, n := range o.sortedNodes {
+		n.nextRenewal = min(n.nextRenewal, max(now, o.passiveUntil))
+		if !n.responded {
+			n.leaseExpiry = max(n.leaseExpiry, now+o.takeoverSpan())
+		}
+	}
+	o.passDue = true
+	event.CellEstablished.Log(o.Log).Int64("epoch", o.Epoch).Int("workers", former).Int("responded", responded).
+		Dur("after", now-o.startedAt).Send()
+}
+
+// takeoverSpan is how long a worker that does not respond may continue with what a former
+// owner has started or extended there.
+func (o *Owner) takeoverSpan() time.Duration {
+	span := max(o.maxLeaseSpan(), startDeadline+leaseMargin)
+	if o.PredecessorAlive {
+		span += confirmationValidity + leaseMargin
+	}
+	return span
+}
+
 // SuspendUnrecorded sets whether starts without a record are suspended. While the owner
 // offers the cell to another host, that host may have claimed it already.
 func (o *Owner) SuspendUnrecorded(suspend bool) { o.suspendUnrecorded = suspend }
@@ -47,24 +115,38 @@
 // a majority of the workers has confirmed its ownership recently. A successor that cannot
 // reach a worker relies on its lease to expire.
 func (o *Owner) mayExtendLeases(now time.Duration) bool {
-	return now-o.ownershipConfirmedAt < confirmationValidity || o.majority
+	return !o.passive(now) && (now-o.ownershipConfirmedAt < confirmationValidity || o.majority)
 }
 
+// MaxIsolation is how long an owner acts without the store and without any other host. A
+// successor that reaches less than half of the workers waits for it.
+const MaxIsolation = 20 * time.Second
+
 // majorityConfirmed reports whether a majority of the workers in the stored directory
 // responded under this owner's fencing token to calls sent within confirmationValidity.
-// Others may be listed that never respond, such as entries of other writers.
+// Others may be listed that never respond, such as entries of other writers. A successor
+// finds either the directory that was written last or the one before it.
 func (o *Owner) majorityConfirmed(now time.Duration) bool {
-	known, confirmed := 0, 0
+	if now-o.ownershipConfirmedAt > MaxIsolation && o.Isolated() {
+		return false
+	}
+	var last, saved, lastConfirmed, savedConfirmed int
 	for _, n := range o.sortedNodes {
-		if !n.inDirectory {
-			continue
+		confirmed := n.responded && now-n.confirmedAt < confirmationValidity
+		if n.lastDirectory {
+			last++
+			if confirmed {
+				lastConfirmed++
+			}
 		}
-		known++
-		if n.responded && now-n.confirmedAt < confirmationValidity {
-			confirmed++
+		if n.savedDirectory {
+			saved++
+			if confirmed {
+				savedConfirmed++
+			}
 		}
 	}
-	return 2*confirmed > known
+	return 2*lastConfirmed > last && 2*savedConfirmed > saved
 }
 
 // noteUnrecorded notes that a run of the job is not in its record yet. The record gets it
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -18,7 +18,10 @@
 // unresponsive worker that time must be reached, because only then can its tasks be
 // restarted elsewhere.
 func (o *Owner) renew(n *node, now time.Duration) {
-	request := work.RenewRequest{Fence: n.fence(o.Epoch), AckedThrough: n.acknowledge()}
+	request := work.RenewRequest{Fence: n.fence(o.Epoch)}
+	if !o.passive(now) {
+		request.AckedThrough = n.acknowledge()
+	}
 	if n.missedRenewals == 0 && n.clock != 0 && o.mayExtendLeases(now) {
 		request.Deadline = n.clockAt(now) + o.Bounds.MaxLease
 		n.extendLease(now, o.Bounds.MaxLease)
@@ -130,6 +133,7 @@
 	}
 	if first {
 		o.passDue = true
+		o.establish(received)
 	}
 }
 
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -210,14 +210,13 @@
 }
 
 // confirmationValidity is how long responses of a majority of the workers under
-// this owner's fencing token prove that no successor has started. A successor that
-// observed a store failure waits longer than this and startDeadline together.
+// this owner's fencing token prove that no successor is established.
 const confirmationValidity = 2 * time.Second
 
 // mayStartUnrecorded reports whether this owner may start work without a record: no
 // successor had fenced a majority of the workers that it queries before the last responses.
 func (o *Owner) mayStartUnrecorded(now time.Duration) bool {
-	return !o.suspendUnrecorded && o.majorityConfirmed(now)
+	return !o.suspendUnrecorded && !o.passive(now) && o.majorityConfirmed(now)
 }
 
 // sendStart sends the start of a planned run. The worker may execute it within
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -42,7 +42,7 @@
 
 // schedule assigns waiting tasks to workers, in the order of their rank.
 func (o *Owner) schedule(now time.Duration) {
-	if !o.listIsFresh(now) {
+	if !o.listIsFresh(now) || o.passive(now) {
 		o.passDue = true
 		return
 	}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -111,6 +111,7 @@
 	EntryMalformed         = define(1164, zerolog.WarnLevel, "store entry cannot be decoded")
 	LogLinesDropped        = define(1165, zerolog.WarnLevel, "log lines dropped")
 	OwnerNotNotified       = define(1166, zerolog.WarnLevel, "owner not notified of a change")
+	CellEstablished        = define(1167, zerolog.InfoLevel, "former owner fenced")
 	InvariantBroken        = define(190, zerolog.ErrorLevel, "invariant violated")
 )
 
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -45,6 +45,9 @@
 	// call to the store.
 	Recorded bool
 	StoreAge int64 // milliseconds since that call, rounded up
+	Epoch    int64 // of the responding owner; 0 from builds without it
+	// Sole means that no former owner can act any more.
+	Sole bool
 }
 
 type storeReply struct {
@@ -91,6 +94,7 @@
 	Owner    ownerRow
 	Revision int64
 	Recorded bool // all that may run is in the records, and nothing is started without one
+	Sole     bool // no former owner can act any more
 }
 
 // handOverReply states whether the responding host owns the cell now.
@@ -119,13 +123,11 @@
 	out = &heartbeatReply{Instance: h.instance, Tables: h.tablesReplyFor(in.Tables, maxInlineUpdate)}
 	err = h.loop.Call(ctx, func() {
 		out.Owner = h.cellOwner != nil || h.loading()
-		out.Recorded = h.cellOwner != nil && h.cellOwner.Recorded()
-		out.StoreAge = time.Since(h.store.LastSuccess()).Milliseconds() + 1
-		h.lastHeartbeat[in.Member.Instance] = time.Now()
-		h.withoutStore[in.Member.Instance] = in.StoreLost
-		if h.applyMember(in.Member) {
-			h.publishView()
+		if o := h.cellOwner; o != nil {
+			out.Recorded, out.Sole, out.Epoch = o.Recorded(), o.Sole(), o.Epoch
 		}
+		out.StoreAge = time.Since(h.store.LastSuccess()).Milliseconds() + 1
+		h.recordHeartbeat(in)
 	})
 	return out, err
 }
@@ -317,7 +319,7 @@
 	alive := map[string]bool{}
 	timeout := max(minAliveTimeout, maxMissedHeartbeats*h.heartbeatInterval())
 	for _, m := range h.members {
-		if time.Since(h.lastHeartbeat[m.Instance]) < timeout {
+		if time.Since(h.heartbeats[m.Instance].at) < timeout {
 			alive[m.Address] = true
 		}
 	}
@@ -336,7 +338,7 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b memberRow) int {
-		if c := compareTrueFirst(!h.withoutStore[a.Instance], !h.withoutStore[b.Instance]); c != 0 {
+		if c := compareTrueFirst(!h.heartbeats[a.Instance].storeLost, !h.heartbeats[b.Instance].storeLost); c != 0 {
 			return c
 		}
 		if c := cmp.Compare(b.CPUShare, a.CPUShare); c != 0 {
@@ -367,11 +369,11 @@
 	h.spawn(func() {
 		defer close(done)
 		// The claim continues even if the caller stops waiting.
-		predecessor := cell.PredecessorUnrecorded
+		former := predecessor{starts: cell.PredecessorUnrecorded, alive: !in.Sole}
 		if in.Recorded {
-			predecessor = cell.PredecessorRecorded
+			former.starts = cell.PredecessorRecorded
 		}
-		h.claimNow(h.runCtx, in.Owner, in.Revision, predecessor)
+		h.claimNow(h.runCtx, in.Owner, in.Revision, former)
 		h.loop.Post(func() { h.claiming = false })
 	})
 	select {
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -17,13 +17,13 @@
 // claimAfterDelay claims the cell once the hosts that should claim it first have
 // had the time to do so. The claim succeeds only if the ownership row is still the
 // observed one.
-func (h *Host) claimAfterDelay(ctx context.Context, observed ownerRow, revision int64, predecessor cell.Predecessor) {
+func (h *Host) claimAfterDelay(ctx context.Context, observed ownerRow, revision int64, former predecessor) {
 	delay := h.claimDelay(observed)
 	sleep(ctx, delay)
 	if delay > 0 && !h.stillUnclaimed(ctx, revision) {
 		return
 	}
-	h.claimNow(ctx, observed, revision, predecessor)
+	h.claimNow(ctx, observed, revision, former)
 }
 
 // stillUnclaimed reports whether the ownership row still has the given
@@ -42,7 +42,7 @@
 
 // claimNow claims the cell without a delay and loads it. It repeats a failed
 // load until another host has claimed the cell.
-func (h *Host) claimNow(ctx context.Context, observed ownerRow, revision int64, predecessor cell.Predecessor) {
+func (h *Host) claimNow(ctx context.Context, observed ownerRow, revision int64, former predecessor) {
 	row := ownerRow{Name: h.Name, Instance: h.instance, Address: h.PeerAddress, Epoch: observed.Epoch + 1}
 	sent := bootClock()
 	claimed, err := h.writeClaim(ctx, row, revision)
@@ -66,7 +66,7 @@
 	progressed()
 	h.spawn(func() { h.writeLivenessMarkers(loadCtx, claimed) })
 	for ctx.Err() == nil {
-		err = h.takeOver(ctx, row, claimed, predecessor, progressed)
+		err = h.takeOver(ctx, row, claimed, former, progressed)
 		_ = h.loop.Call(ctx, func() { h.confirmOwnership(sent) })
 		if err == nil {
 			h.stats.observe("takeover_seconds", callBuckets, time.Since(start))
@@ -120,15 +120,15 @@
 // takeOver loads the cell and starts its scheduling on this host. It waits until
 // this host has a configuration. It calls progressed for each page of the store that it
 // has read.
-func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, predecessor cell.Predecessor, progressed func()) (err error) {
+func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, former predecessor, progressed func()) (err error) {
 	var stored []cell.StoredJob
-	var workers, former []work.Worker
+	var workers, directory []work.Worker
 	var watchFrom int64
 	listed := bootClock()
 	err = runConcurrently(
 		func() (err error) { stored, watchFrom, err = h.loadJobs(ctx, progressed); return err },
 		func() (err error) { workers, err = h.listWorkers(ctx); return err },
-		func() (err error) { former, err = h.formerWorkers(ctx); return err },
+		func() (err error) { directory, err = h.formerWorkers(ctx); return err },
 	)
 	if err != nil {
 		return err
@@ -141,12 +141,12 @@
 		h.currentOwner, h.ownerRowRevision, h.ownerRowRead = row, revision, true
 		h.ownerSuspicion = suspicion{}
 		h.carrierClient, h.carrierAddresses = h.newCarrierClient(), nil
-		h.chooseCarriers(max(len(workers), len(former)))
+		h.chooseCarriers(max(len(workers), len(directory)))
 		h.cellOwner = h.newOwner(ownerCtx, row, revision)
-		h.cellOwner.Predecessor = predecessor
+		h.cellOwner.Predecessor, h.cellOwner.PredecessorAlive = former.starts, former.alive
 		h.cancelOwner = cancel
 		h.cellOwner.Restore(stored)
-		h.cellOwner.RestoreWorkers(former)
+		h.cellOwner.RestoreWorkers(directory)
 		h.cellOwner.SetWorkers(workers, listed)
 		h.cellOwner.Tick()
 		h.publishView()
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -58,15 +58,16 @@
 		}
 		interval = listInterval(len(workers), bootClock()-asOf)
 		var list []work.Worker
+		var due bool
 		err = h.loop.Call(ctx, func() {
 			if h.cellOwner != nil {
 				h.chooseCarriers(len(workers))
 				h.cellOwner.SetWorkers(workers, asOf)
-				list = h.cellOwner.WorkerDirectory()
+				list, due = h.cellOwner.WorkerDirectory()
 				h.cellOwner.Tick()
 			}
 		})
-		if err == nil {
+		if err == nil && due {
 			h.saveDirectory(ctx, ownerRev, list, &stored)
 		}
 	}
--- a/internal/host/handover.go
+++ b/internal/host/handover.go
@@ -43,7 +43,7 @@
 		better := false
 		err := h.loop.Call(ctx, func() {
 			list := h.handOverCandidates()
-			if len(list) == 0 || h.withoutStore[list[0].Instance] {
+			if len(list) == 0 || h.heartbeats[list[0].Instance].storeLost {
 				return
 			}
 			withoutDirectAccess := relayed(h.relay.DirectOutage(), time.Since(h.store.LastFailure()), time.Since(h.store.LastSuccess()))
@@ -84,7 +84,7 @@
 	var row ownerRow
 	var revision int64
 	var candidates []memberRow
-	var recorded bool
+	var recorded, sole bool
 	err := h.loop.Call(ctx, func() {
 		if h.cellOwner == nil {
 			return
@@ -94,7 +94,7 @@
 		candidates = h.handOverCandidates()
 		h.handingOver = true
 		h.cellOwner.SuspendUnrecorded(true)
-		recorded = h.cellOwner.Recorded()
+		recorded, sole = h.cellOwner.Recorded(), h.cellOwner.Sole()
 	})
 	if err != nil {
 		return false, false
@@ -108,7 +108,7 @@
 		}
 		callCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 		reply, err := peer.Call[handOverRequest, handOverReply](callCtx, h.peers, m.Address, callHandOver, &handOverRequest{
-			Owner: row, Revision: revision, Recorded: recorded,
+			Owner: row, Revision: revision, Recorded: recorded, Sole: sole,
 		})
 		cancel()
 		if err == nil && reply.Taken {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -109,8 +109,7 @@
 	livenessRevision  int64     // store revision of the last observed liveness marker
 	livenessChangedAt time.Time // when a new liveness marker or a new owner was last observed
 	members           map[string]memberRow
-	lastHeartbeat     map[string]time.Time // time of the last heartbeat, by instance
-	withoutStore      map[string]bool      // whether the store rejects the host's requests, by instance
+	heartbeats        map[string]heartbeat // last ones, by instance
 	cellOwner         *cell.Owner          // nil unless this host owns the cell
 	cancelOwner       context.CancelFunc
 	carrierClient     *carrier.Client // set while this host owns the cell
@@ -146,8 +145,7 @@
 		loop:              control.New(),
 		peers:             peer.NewClient(),
 		members:           map[string]memberRow{},
-		lastHeartbeat:     map[string]time.Time{},
-		withoutStore:      map[string]bool{},
+		heartbeats:        map[string]heartbeat{},
 		started:           time.Now(),
 		cellReadRequested: make(chan struct{}, 1),
 		stats:             newStats(),
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -9,10 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
-	"turmericspread.org/turmericspread/internal/peer"
 )
 
 // Keys of the store. Jobs and their progress have separate prefixes, so that a
@@ -48,35 +46,6 @@
 	Started  int64   `cbor:"5,keyasint,omitempty"` // Unix milliseconds
 }
 
-// suspicion is the evidence that the current owner of the cell has failed.
-type suspicion struct {
-	instance   string    // instance of the suspected owner
-	since      time.Time // time of the first missing response; zero: no suspicion
-	terminated bool      // its process is confirmed terminated
-	recorded   bool      // and had started nothing without a record before
-}
-
-// ownerRecord is what the last response of an owner shows about its records.
-type ownerRecord struct {
-	instance string
-	// until is the local time until which all that may run is recorded; 0: not recorded.
-	until time.Duration
-}
-
-// recordMargin is subtracted from the time until which an owner that does not respond
-// any more is known to have recorded its starts, because clocks differ in rate.
-const recordMargin = 50 * time.Millisecond
-
-// newOwnerRecord returns what a heartbeat response to a request sent at the given time
-// shows.
-func newOwnerRecord(reply *heartbeatReply, sent time.Duration) (r ownerRecord) {
-	r.instance = reply.Instance
-	if reply.Recorded {
-		r.until = sent - time.Duration(reply.StoreAge)*time.Millisecond + storeUnavailableAfter - recordMargin
-	}
-	return r
-}
-
 const (
 	// cellReadInterval is the interval between two reads of the cell's rows
 	// while the owner responds to heartbeats.
@@ -282,72 +251,6 @@
 	h.view.Store(v)
 }
 
-// monitorOwner sends heartbeats to the owner and records a suspicion if it does
-// not respond.
-func (h *Host) monitorOwner(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, h.heartbeatInterval())
-		v := h.view.Load()
-		if !v.known || v.owner.Instance == h.instance {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-		sent := bootClock()
-		reply, err := peer.Call[heartbeatRequest, heartbeatReply](callCtx, h.peers, v.owner.Address, callHeartbeat, &heartbeatRequest{
-			Member: h.member(), StoreLost: h.relay.DirectOutage() > 0, Tables: h.tablesVersion(),
-		})
-		cancel()
-		// Either no process listens at the owner's address, or another process
-		// responds there.
-		processTerminated := err != nil && isConnectionRefused(err) || err == nil && reply.Instance != v.owner.Instance
-		if err == nil && !processTerminated && reply.Owner {
-			h.applyPeerTables("owner", &reply.Tables, sent)
-			if !reply.Tables.Whole && reply.Tables.Version > h.tablesVersion() {
-				h.refreshOnce() // too large for the heartbeat response
-			}
-			h.loop.Post(func() {
-				h.ownerSuspicion = suspicion{}
-				h.ownerRecord = newOwnerRecord(reply, sent)
-			})
-			continue
-		}
-		_ = h.loop.Call(ctx, func() { h.suspectOwner(v.owner, processTerminated, err) })
-		h.requestCellRead()
-		if processTerminated {
-			h.considerClaim(ctx)
-		}
-	}
-}
-
-// suspectOwner records that the owner did not respond as the owner of the cell.
-func (h *Host) suspectOwner(owner ownerRow, processTerminated bool, err error) {
-	if owner.Instance != h.currentOwner.Instance || h.cellOwner != nil {
-		return
-	}
-	if h.ownerSuspicion.since.IsZero() {
-		h.ownerSuspicion = suspicion{instance: owner.Instance, since: time.Now()}
-		event.OwnerSuspected.Log(h.Log).Str("owner", owner.Name).Str("instance", owner.Instance).Bool("gone", processTerminated).
-			Err(err).Send()
-	}
-	if processTerminated && !h.ownerSuspicion.terminated {
-		h.ownerSuspicion.terminated = true
-		h.ownerSuspicion.recorded = h.ownerRecord.instance == owner.Instance && bootClock() < h.ownerRecord.until
-	}
-}
-
-// predecessor returns what this host knows of the starts of an owner that it replaces.
-func (h *Host) predecessor(owner ownerRow) cell.Predecessor {
-	switch {
-	case owner.Instance == "":
-		return cell.PredecessorUnknown
-	case h.ownerSuspicion.instance == owner.Instance && h.ownerSuspicion.recorded:
-		return cell.PredecessorRecorded
-	case owner.Instance != h.instance && h.ownerRecord.instance != owner.Instance && time.Since(h.started) < storeFailureMemory:
-		return cell.PredecessorUnknown
-	}
-	return cell.PredecessorUnrecorded
-}
-
 // considerClaim claims the cell if it has no owner, if the owner's process is
 // confirmed terminated, or if the owner neither responds to this host nor
 // writes liveness markers to the store.
@@ -355,9 +258,9 @@
 	var due bool
 	var row ownerRow
 	var revision int64
-	var predecessor cell.Predecessor
+	var former predecessor
 	_ = h.loop.Call(ctx, func() {
-		row, revision, predecessor = h.currentOwner, h.ownerRowRevision, h.predecessor(h.currentOwner)
+		row, revision, former = h.currentOwner, h.ownerRowRevision, h.predecessor(h.currentOwner)
 		due = h.claimDue()
 		if due {
 			h.claiming = true
@@ -367,7 +270,7 @@
 		return
 	}
 	h.spawn(func() {
-		h.claimAfterDelay(ctx, row, revision, predecessor)
+		h.claimAfterDelay(ctx, row, revision, former)
 		h.loop.Post(func() { h.claiming = false })
 	})
 }
