feat: let successors prove that nothing was started without a record

Cause: a successor could not tell whether the former owner had started work without a record on minions that do not respond, and waited for them.

Change: an owner starts nothing without a record while a host that it has heard from within 6 s has access to the store, by that host's numbered heartbeats. Such a host therefore knows for 5.8 s after each response with all recorded that nothing is started without a record. If that covers the time until the former owner stops, a successor acts as soon as half of the workers have responded.

TestNoWaitAfterAnOwnerThatAsksPeers fails if successors ignore what they know, and, like TestRandomSplits, if the owner does not ask. TestPeersLostStore and TestRecordedUntil check what hosts conclude from heartbeats.

--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -80,6 +80,12 @@
 	Predecessor Predecessor
 	// PredecessorAlive means that a former owner may still act. Set it before Restore.
 	PredecessorAlive bool
+	// PredecessorRecordedUntil is the local time until which a former owner that is alive
+	// starts nothing without a record; 0 if that is not known. Set it before Restore.
+	PredecessorRecordedUntil time.Duration
+	// PeersLostStore reports whether no other host that was heard from recently has access to
+	// the store. A host with access may replace this owner.
+	PeersLostStore func() bool
 	// Isolated reports whether no other host was heard from for long, although there are some.
 	Isolated func() bool
 	// OnOwnershipLost is called once when a higher fencing token or another owner is
@@ -160,6 +166,7 @@
 		OnStepStarted:    func(string, time.Duration) {},
 		OnJobEnded:       func(string, work.State, time.Duration) {},
 		OnStepWaited:     func(string, WaitReason, time.Duration) {},
+		PeersLostStore:   func() bool { return true },
 		Isolated:         func() bool { return false },
 		jobs:             map[string]*job{},
 		nodes:            map[string]*node{},
--- a/internal/cell/predecessor.go
+++ b/internal/cell/predecessor.go
@@ -78,8 +78,13 @@
 	}
 	o.unestablished = false
 	o.soleFrom = now + confirmationValidity + leaseMargin
-	o.passiveUntil = o.soleFrom
-	o.resolveUntil = now + o.takeoverSpan()
+	recorded := o.PredecessorRecordedUntil >= o.soleFrom
+	if recorded {
+		o.mayHaveUnrecorded, o.resolveUntil = false, 0
+	} else {
+		o.passiveUntil = o.soleFrom
+		o.resolveUntil = now + o.takeoverSpan()
+	}
 	for _, n := range o.sortedNodes {
 		n.nextRenewal = min(n.nextRenewal, max(now, o.passiveUntil))
 		if !n.responded {
@@ -88,7 +93,7 @@
 	}
 	o.passDue = true
 	event.CellEstablished.Log(o.Log).Int64("epoch", o.Epoch).Int("workers", former).Int("responded", responded).
-		Dur("after", now-o.startedAt).Send()
+		Bool("recorded", recorded).Dur("after", now-o.startedAt).Send()
 }
 
 // takeoverSpan is how long a worker that does not respond may continue with what a former
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -214,9 +214,10 @@
 const confirmationValidity = 2 * time.Second
 
 // mayStartUnrecorded reports whether this owner may start work without a record: no
-// successor had fenced a majority of the workers that it queries before the last responses.
+// successor had fenced a majority of the workers that it queries before the last responses,
+// and no other host that was heard from recently has access to the store.
 func (o *Owner) mayStartUnrecorded(now time.Duration) bool {
-	return !o.suspendUnrecorded && !o.passive(now) && o.majorityConfirmed(now)
+	return !o.suspendUnrecorded && !o.passive(now) && o.PeersLostStore() && o.majorityConfirmed(now)
 }
 
 // sendStart sends the start of a planned run. The worker may execute it within
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -41,6 +41,7 @@
 	replacedWorkers int           // workers that are gone for good
 	freshProcess    bool          // owners are processes that have just started
 	connected       bool          // successors have heard from their predecessor
+	asksPeers       bool          // owners start nothing without a record if a host has access to the store
 	processor       processor     // of the owners
 	adviser         simAdviser
 	// loseResponse and delayRequest are the probabilities of these faults per request.
@@ -99,8 +100,9 @@
 	rowRevision int64 // of the ownership row
 	frozen      bool
 	killed      bool
-	recorded    bool            // when it was killed, all that might run was recorded
-	sole        bool            // when it was killed, no former owner could act
+	recorded    bool // when it was killed, all that might run was recorded
+	sole        bool // when it was killed, no former owner could act
+	peers       simPeers
 	cut         bool            // it cannot reach the store, which serves others
 	unreachable map[string]bool // workers that it cannot reach
 	deferred    []func()        // callbacks that arrived while it was frozen
@@ -214,6 +216,11 @@
 		if former.killed && former.recorded {
 			o.Predecessor = PredecessorRecorded
 		}
+		o.PredecessorRecordedUntil = former.peers.recordedUntil
+	}
+	if s.asksPeers {
+		o.PeersLostStore = func() bool { return s.now >= o.peers.until }
+		s.after(0, o.heartbeat)
 	}
 	o.Isolated = func() bool { return o.cut }
 	s.owner = o
--- a/internal/cell/split_test.go
+++ b/internal/cell/split_test.go
@@ -5,9 +5,38 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"turmericspread.org/turmericspread/internal/work"
 )
 
+// simPeers is what an owner and the other hosts know of each other by heartbeats.
+type simPeers struct {
+	until         time.Duration // until when the owner knows of a host with access to the store
+	recordedUntil time.Duration // until when that host knows that all starts are recorded
+}
+
+// heartbeat models the heartbeats of a host that has access to the store.
+func (o *simOwner) heartbeat() {
+	const interval, span, margin = 200 * time.Millisecond, 6 * time.Second, 200 * time.Millisecond
+	s := o.sim
+	switch {
+	case o.killed || s.store.ownerRev != o.rowRevision:
+		return
+	case s.store.down:
+		o.peers.recordedUntil = 0
+		if !o.cut && !o.frozen {
+			o.peers.until = 0
+		}
+	case !o.cut && !o.frozen:
+		o.peers = simPeers{until: s.now + span}
+		if o.Recorded() {
+			o.peers.recordedUntil = s.now + span - margin
+		}
+	}
+	s.after(interval, o.heartbeat)
+}
+
 // split separates the owner and some of the workers from the store and the other workers,
 // whose successor takes over after a delay.
 func (s *sim) split(withOwner func(id string) bool, delay, length time.Duration) {
@@ -44,17 +73,21 @@
 // acknowledged: an owner that reaches most of the workers, but neither the store nor the
 // others, restarts tasks of workers that its successor has reached.
 func TestSplitWithMostWorkers(t *testing.T) {
-	s := newSim(t, 1, 8)
-	s.connected = true
-	s.claim()
-	for i := range 60 {
-		s.submit(fmt.Sprintf("j%02d", i), newStep(4, 4*time.Second))
-	}
-	s.run(time.Second)
-	s.split(func(id string) bool { return id < "w06" }, 1300*time.Millisecond, 18*time.Second)
-	s.run(150 * time.Second)
-	for i := range 60 {
-		s.assertState(fmt.Sprintf("j%02d", i), work.StateCompleted)
+	for _, asksPeers := range []bool{false, true} {
+		t.Run(fmt.Sprintf("asks peers: %v", asksPeers), func(t *testing.T) {
+			s := newSim(t, 1, 8)
+			s.connected, s.asksPeers = true, asksPeers
+			s.claim()
+			for i := range 60 {
+				s.submit(fmt.Sprintf("j%02d", i), newStep(4, 4*time.Second))
+			}
+			s.run(time.Second)
+			s.split(func(id string) bool { return id < "w06" }, 1300*time.Millisecond, 18*time.Second)
+			s.run(150 * time.Second)
+			for i := range 60 {
+				s.assertState(fmt.Sprintf("j%02d", i), work.StateCompleted)
+			}
+		})
 	}
 }
 
@@ -62,7 +95,7 @@
 // the workers never returns. It stops, and its successor goes on with the others.
 func TestIsolatedMajorityStops(t *testing.T) {
 	s := newSim(t, 1, 8)
-	s.connected = true
+	s.connected, s.asksPeers = true, true
 	s.claim()
 	s.submit("a", newStep(64, 4*time.Second))
 	s.run(time.Second)
@@ -71,6 +104,28 @@
 	s.assertState("a", work.StateCompleted)
 }
 
+// TestNoWaitAfterAnOwnerThatAsksPeers guards against accepted work that stands still after
+// the owner was cut off together with some workers, although the owner can have started
+// nothing without a record.
+func TestNoWaitAfterAnOwnerThatAsksPeers(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.connected, s.asksPeers = true, true
+	s.claim()
+	s.submit("a", newStep(64, 3*time.Second))
+	s.run(time.Second)
+	s.owner.cut = true
+	s.run(1500 * time.Millisecond)
+	s.workers["w01"].disconnect(5500 * time.Millisecond)
+	s.run(2200 * time.Millisecond)
+	before := s.starts
+	s.claim()
+	s.run(6 * time.Second)
+	assert.Assert(t, s.starts >= before+7*4, "accepted work goes on on the other workers: %d starts", s.starts-before)
+	s.run(40 * time.Second)
+	s.assertState("a", work.StateCompleted)
+	assert.Equal(t, s.starts, 64, "each task is started once")
+}
+
 // TestRandomSplits is TestRandomFaultsOfConnectedOwners with owners that are separated from
 // the store together with some of the workers.
 func TestRandomSplits(t *testing.T) {
@@ -78,7 +133,7 @@
 	for seed := uint64(1); seed <= uint64(*seedsFlag); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			s := newSim(t, seed, 8)
-			s.connected = true
+			s.connected, s.asksPeers = true, s.rng.IntN(2) == 0
 			for range 3 {
 				s.after(time.Duration(s.rng.Int64N(int64(length))), func() {
 					if s.owner.cut || s.store.down {
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -33,6 +33,7 @@
 type heartbeatRequest struct {
 	Member    memberRow
 	StoreLost bool  // the store rejects the sender's requests
+	Sequence  int64 // rises with each heartbeat of an instance; 0 from builds without it
 	Tables    int64 // current version of the configuration on the sender
 }
 
@@ -48,6 +49,9 @@
 	Epoch    int64 // of the responding owner; 0 from builds without it
 	// Sole means that no former owner can act any more.
 	Sole bool
+	// AsksPeers means that for peersSpan after a heartbeat of a host with access to the
+	// store, the responding owner starts nothing without a record.
+	AsksPeers bool
 }
 
 type storeReply struct {
@@ -126,6 +130,7 @@
 		if o := h.cellOwner; o != nil {
 			out.Recorded, out.Sole, out.Epoch = o.Recorded(), o.Sole(), o.Epoch
 		}
+		out.AsksPeers = true
 		out.StoreAge = time.Since(h.store.LastSuccess()).Milliseconds() + 1
 		h.recordHeartbeat(in)
 	})
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -66,7 +66,7 @@
 	progressed()
 	h.spawn(func() { h.writeLivenessMarkers(loadCtx, claimed) })
 	for ctx.Err() == nil {
-		err = h.takeOver(ctx, row, claimed, former, progressed)
+		err = h.takeOver(ctx, row, claimed, observed, former, progressed)
 		_ = h.loop.Call(ctx, func() { h.confirmOwnership(sent) })
 		if err == nil {
 			h.stats.observe("takeover_seconds", callBuckets, time.Since(start))
@@ -120,7 +120,7 @@
 // takeOver loads the cell and starts its scheduling on this host. It waits until
 // this host has a configuration. It calls progressed for each page of the store that it
 // has read.
-func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, former predecessor, progressed func()) (err error) {
+func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, observed ownerRow, former predecessor, progressed func()) (err error) {
 	var stored []cell.StoredJob
 	var workers, directory []work.Worker
 	var watchFrom int64
@@ -144,6 +144,7 @@
 		h.chooseCarriers(max(len(workers), len(directory)))
 		h.cellOwner = h.newOwner(ownerCtx, row, revision)
 		h.cellOwner.Predecessor, h.cellOwner.PredecessorAlive = former.starts, former.alive
+		h.cellOwner.PredecessorRecordedUntil = h.recordedUntil(observed)
 		h.cancelOwner = cancel
 		h.cellOwner.Restore(stored)
 		h.cellOwner.RestoreWorkers(directory)
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -30,7 +30,7 @@
 		}
 		return h.adviceBalancer.hasFree(eligibleHosts(hosts, cost), cost)
 	}
-	o.Isolated = h.isolated
+	o.PeersLostStore, o.Isolated = h.peersLostStore, h.isolated
 	o.OnOwnershipLost = func(reason string) {
 		if h.cellOwner == o {
 			h.endOwnership(reason)
--- a/internal/host/predecessor.go
+++ b/internal/host/predecessor.go
@@ -21,7 +21,8 @@
 type heartbeat struct {
 	at        time.Time
 	bootAt    time.Duration // the same on the boot clock
-	storeLost bool          // the store rejects the host's requests
+	sequence  int64
+	storeLost bool // the store rejects the host's requests
 }
 
 // ownerRecord is what the last response of an owner shows about its records.
@@ -30,19 +31,35 @@
 	epoch    int64 // 0: not known
 	// until is the local time until which all that may run is recorded; 0: not recorded.
 	until time.Duration
-	sole  bool // no former owner could act any more
+	// peersUntil is the local time until which the owner makes no starts without a record
+	// because this host has told it that the store is available; 0: not recorded, or this
+	// host has told it otherwise since.
+	peersUntil time.Duration
+	sole       bool // no former owner could act any more
 }
 
 // recordMargin is subtracted from the time until which an owner that does not respond
 // any more is known to have recorded its starts, because clocks differ in rate.
 const recordMargin = 50 * time.Millisecond
 
+const (
+	// peersSpan is how long an owner waits for the next heartbeat of a host with access to
+	// the store before it takes the store for unavailable to all. A takeover from an owner
+	// that does not respond takes less.
+	peersSpan = 6 * time.Second
+	// peersMargin is subtracted from it because clocks differ in rate.
+	peersMargin = 200 * time.Millisecond
+)
+
 // newOwnerRecord returns what a heartbeat response to a request sent at the given time
-// shows.
-func newOwnerRecord(reply *heartbeatReply, sent time.Duration) (r ownerRecord) {
+// shows. The request told the owner whether this host had lost the store.
+func newOwnerRecord(reply *heartbeatReply, sent time.Duration, storeLost bool) (r ownerRecord) {
 	r.instance, r.epoch, r.sole = reply.Instance, reply.Epoch, reply.Sole
 	if reply.Recorded {
 		r.until = sent - time.Duration(reply.StoreAge)*time.Millisecond + storeUnavailableAfter - recordMargin
+		if reply.AsksPeers && !storeLost {
+			r.peersUntil = sent + peersSpan - peersMargin
+		}
 	}
 	return r
 }
@@ -55,16 +72,27 @@
 // monitorOwner sends heartbeats to the owner and records a suspicion if it does
 // not respond.
 func (h *Host) monitorOwner(ctx context.Context) {
-	for ctx.Err() == nil {
+	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		sleep(ctx, h.heartbeatInterval())
 		v := h.view.Load()
 		if !v.known || v.owner.Instance == h.instance {
 			continue
 		}
+		storeLost := h.relay.DirectOutage() > 0
+		current := false
+		_ = h.loop.Call(ctx, func() {
+			current = h.currentOwner.Instance == v.owner.Instance
+			if storeLost {
+				h.ownerRecord.peersUntil = 0
+			}
+		})
+		if !current {
+			continue
+		}
 		callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 		sent := bootClock()
 		reply, err := peer.Call[heartbeatRequest, heartbeatReply](callCtx, h.peers, v.owner.Address, callHeartbeat, &heartbeatRequest{
-			Member: h.member(), StoreLost: h.relay.DirectOutage() > 0, Tables: h.tablesVersion(),
+			Member: h.member(), StoreLost: storeLost, Tables: h.tablesVersion(), Sequence: sequence,
 		})
 		cancel()
 		// Either no process listens at the owner's address, or another process
@@ -77,7 +105,7 @@
 			}
 			h.loop.Post(func() {
 				h.ownerSuspicion = suspicion{}
-				h.ownerRecord = newOwnerRecord(reply, sent)
+				h.ownerRecord = newOwnerRecord(reply, sent, storeLost)
 			})
 			continue
 		}
@@ -127,15 +155,40 @@
 	return predecessor{cell.PredecessorUnrecorded, !terminated || !heard || !h.ownerRecord.sole}
 }
 
-// recordHeartbeat records the sender of a heartbeat as alive.
+// recordedUntil returns the local time until which an owner that is alive starts nothing
+// without a record, or 0 if that is not known.
+func (h *Host) recordedUntil(owner ownerRow) time.Duration {
+	if !h.ownerRecord.of(owner) {
+		return 0
+	}
+	return h.ownerRecord.peersUntil
+}
+
+// recordHeartbeat records the sender of a heartbeat as alive. A heartbeat that was
+// overtaken by a later one is ignored, because it may contradict it.
 func (h *Host) recordHeartbeat(in *heartbeatRequest) {
 	instance := in.Member.Instance
-	h.heartbeats[instance] = heartbeat{at: time.Now(), bootAt: bootClock(), storeLost: in.StoreLost}
+	if in.Sequence > 0 && in.Sequence <= h.heartbeats[instance].sequence {
+		return
+	}
+	h.heartbeats[instance] = heartbeat{at: time.Now(), bootAt: bootClock(), sequence: in.Sequence, storeLost: in.StoreLost}
 	if h.applyMember(in.Member) {
 		h.publishView()
 	}
 }
 
+// peersLostStore reports whether every host that was heard from within peersSpan has lost
+// the store as well. Otherwise that host may have replaced this owner.
+func (h *Host) peersLostStore() bool {
+	for _, m := range h.members {
+		last := h.heartbeats[m.Instance]
+		if m.Instance != h.instance && time.Since(last.at) < peersSpan && !last.storeLost {
+			return false
+		}
+	}
+	return true
+}
+
 // isolated reports whether there are other hosts and none was heard from for long.
 func (h *Host) isolated() (others bool) {
 	for _, m := range h.members {
