fix: go on with the other workers while a successor has fenced only a few

Callers would see accepted work stand still for a whole partition: the owner has lost the store, and its successor reaches only a few of the workers, which the owner reaches as well. And after several cuts in a row, work waited although nothing could be without a record.

Cause: one rejected fencing token ended the ownership, while the successor is passive until it has fenced half of the workers. A successor that acts by proof did not pass the proof on before it was the sole owner.

Change: without the store, an owner gives the cell up only when half of the workers have rejected its token. A successor that acts by proof says that all is recorded.

Measured: TestFencedByFewWorkers failed before (no start in 8 s), TestNoWaitAfterRepeatedCuts fails without its part.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -33,6 +33,7 @@
 	// State of the worker's current incarnation.
 	incarnation    int64
 	responded      bool  // it has responded under the current fencing token
+	fenced         bool  // it has rejected this owner's fencing token
 	resolved       bool  // all that it runs and all its ends were listed in such a response
 	fenceSeq       int64 // increments of the fencing token within this ownership
 	clock          time.Duration
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -126,6 +126,7 @@
 	startedAt            time.Duration // when this owner took over
 	unestablished        bool          // a former owner that may be alive may act beside this one
 	soleFrom             time.Duration // from when no former owner acts any more
+	startsRecorded       bool          // no former owner starts anything without a record until then
 	passiveUntil         time.Duration // until when this owner starts nothing and extends no leases
 	resolveUntil         time.Duration // until when starts wait for workers that have not responded
 	mayHaveUnrecorded    bool          // the former owner may have started work without a record
--- a/internal/cell/predecessor.go
+++ b/internal/cell/predecessor.go
@@ -31,7 +31,7 @@
 // owner may have others, and no former owner may still make any.
 func (o *Owner) Recorded() bool {
 	now := o.Now()
-	if len(o.unrecorded) > 0 || !o.Sole() {
+	if len(o.unrecorded) > 0 || !o.Sole() && !o.startsRecorded {
 		return false
 	}
 	return now >= o.resolveUntil || o.unresolvedCapacity(now).IsZero()
@@ -78,8 +78,8 @@
 	}
 	o.unestablished = false
 	o.soleFrom = now + confirmationValidity + leaseMargin
-	recorded := o.PredecessorRecordedUntil >= o.soleFrom
-	if recorded {
+	o.startsRecorded = o.Predecessor == PredecessorRecorded || o.PredecessorRecordedUntil >= o.soleFrom
+	if o.startsRecorded {
 		o.mayHaveUnrecorded, o.resolveUntil = false, 0
 	} else {
 		o.passiveUntil = o.soleFrom
@@ -93,7 +93,7 @@
 	}
 	o.passDue = true
 	event.CellEstablished.Log(o.Log).Int64("epoch", o.Epoch).Int("workers", former).Int("responded", responded).
-		Bool("recorded", recorded).Dur("after", now-o.startedAt).Send()
+		Bool("recorded", o.startsRecorded).Dur("after", now-o.startedAt).Send()
 }
 
 // takeoverSpan is how long a worker that does not respond may continue with what a former
@@ -154,6 +154,21 @@
 	return 2*lastConfirmed > last && 2*savedConfirmed > saved
 }
 
+// fencedByHalf reports whether half of the workers in the stored directory have rejected
+// this owner's fencing token.
+func (o *Owner) fencedByHalf() bool {
+	known, fenced := 0, 0
+	for _, n := range o.sortedNodes {
+		if n.savedDirectory {
+			known++
+			if n.fenced {
+				fenced++
+			}
+		}
+	}
+	return 2*fenced >= known
+}
+
 // noteUnrecorded notes that a run of the job is not in its record yet. The record gets it
 // with the job's current version or an earlier one.
 func (o *Owner) noteUnrecorded(j *job) { o.unrecorded[j] = j.version }
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -53,13 +53,19 @@
 
 // handleFenced is called when a worker has observed a higher fencing token. Unless
 // this owner has incremented the token itself in the meantime, another owner has
-// taken over.
+// claimed the cell. While the store is unavailable, this owner goes on with the other
+// workers: its successor does not act before it has fenced half of them.
 func (o *Owner) handleFenced(n *node, used int64) {
 	if used != n.fence(o.Epoch) {
 		return
 	}
-	event.CellFenced.Log(o.Log).Str("worker", n.worker.ID).Int64("fence", used).Send()
-	o.loseOwnership("a worker has seen a higher fence")
+	if !n.fenced {
+		event.CellFenced.Log(o.Log).Str("worker", n.worker.ID).Int64("fence", used).Send()
+	}
+	n.fenced, n.responded, n.resolved = true, false, false
+	if o.StoreUp() || o.fencedByHalf() {
+		o.loseOwnership("workers have seen a higher fence")
+	}
 }
 
 // handleMissedRenewal records that a renewal was not answered. The first retry
@@ -111,7 +117,7 @@
 			Int("running", len(response.Running)).Send()
 	}
 	first := !n.responded
-	n.responded = true
+	n.responded, n.fenced = true, false
 	n.missedRenewals = 0
 	n.lastResponse = received
 	n.confirmedAt = sent
--- a/internal/cell/split_test.go
+++ b/internal/cell/split_test.go
@@ -42,12 +42,13 @@
 func (s *sim) split(withOwner func(id string) bool, delay, length time.Duration) {
 	former := s.owner
 	former.cut, former.unreachable = true, map[string]bool{}
+	ownerReachesAll := s.rng.IntN(3) == 0
 	others := map[string]bool{}
 	for id, w := range s.workers {
 		if withOwner(id) {
 			others[id] = true
 			s.after(min(4500*time.Millisecond, length), func() { w.unlisted = former.cut })
-		} else {
+		} else if !ownerReachesAll {
 			former.unreachable[id] = true
 		}
 	}
@@ -104,6 +105,52 @@
 	s.assertState("a", work.StateCompleted)
 }
 
+// TestFencedByFewWorkers guards against a cell in which nobody acts: the owner has lost the
+// store, and its successor reaches only a few of the workers, which the owner reaches as well.
+func TestFencedByFewWorkers(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.connected, s.asksPeers = true, true
+	s.claim()
+	s.submit("a", newStep(128, 2*time.Second))
+	s.run(time.Second)
+	former := s.owner
+	former.cut = true
+	s.run(2200 * time.Millisecond)
+	s.claim()
+	s.owner.unreachable = map[string]bool{"w02": true, "w03": true, "w04": true, "w05": true, "w06": true, "w07": true}
+	s.run(8 * time.Second) // the owner waits for the hosts that it does not hear
+	before := s.starts
+	s.run(16 * time.Second)
+	assert.Assert(t, s.starts >= before+24, "the owner goes on with the workers that it reaches: %d starts", s.starts-before)
+	former.cut, s.owner.unreachable = false, nil
+	s.run(60 * time.Second)
+	s.assertState("a", work.StateCompleted)
+	assert.Assert(t, former.ownershipLost)
+}
+
+// TestNoWaitAfterRepeatedCuts cuts off each of three owners soon after its takeover. The third
+// successor knows that neither of the former owners starts work without a record.
+func TestNoWaitAfterRepeatedCuts(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.connected, s.asksPeers = true, true
+	s.claim()
+	s.submit("a", newStep(96, 3*time.Second))
+	s.run(time.Second)
+	s.workers["w01"].disconnect(7 * time.Second)
+	for range 3 {
+		s.owner.cut = true
+		s.run(s.now + 1300*time.Millisecond)
+		s.claim()
+		s.run(s.now + 700*time.Millisecond)
+	}
+	before := s.starts
+	s.run(s.now + time.Second)
+	assert.Assert(t, s.starts >= before+3, "accepted work goes on: %d starts", s.starts-before)
+	s.run(60 * time.Second)
+	s.assertState("a", work.StateCompleted)
+	assert.Equal(t, s.starts, 96, "each task is started once")
+}
+
 // TestNoWaitAfterAnOwnerThatAsksPeers guards against accepted work that stands still after
 // the owner was cut off together with some workers, although the owner can have started
 // nothing without a record.
--- a/internal/host/predecessor.go
+++ b/internal/host/predecessor.go
@@ -148,7 +148,7 @@
 	case owner.Instance == "":
 		return predecessor{starts: cell.PredecessorUnknown}
 	case suspected && h.ownerSuspicion.recorded:
-		return predecessor{starts: cell.PredecessorRecorded}
+		return predecessor{cell.PredecessorRecorded, !h.ownerRecord.sole}
 	case owner.Instance != h.instance && !heard && time.Since(h.started) < storeFailureMemory:
 		return predecessor{cell.PredecessorUnknown, !terminated}
 	}
--- a/internal/host/predecessor_test.go
+++ b/internal/host/predecessor_test.go
@@ -27,6 +27,7 @@
 		alive      bool
 	}{
 		{"terminated right after a response", reply(true, 0), 200 * time.Millisecond, true, time.Hour, cell.PredecessorRecorded, false},
+		{"terminated with all recorded before a former owner was fenced", &heartbeatReply{Instance: owner.Instance, Owner: true, Recorded: true}, 200 * time.Millisecond, true, time.Hour, cell.PredecessorRecorded, true},
 		{"not all was recorded", reply(false, 0), 200 * time.Millisecond, true, time.Hour, cell.PredecessorUnrecorded, false},
 		{"terminated long after a response", reply(true, 0), long, true, time.Hour, cell.PredecessorUnrecorded, false},
 		{"the store had not answered it for long", reply(true, 700*time.Millisecond), 200 * time.Millisecond, true, time.Hour, cell.PredecessorUnrecorded, false},
