fix: record why work waits while a successor is passive

Cause: a step that waited for the former owner to be fenced had no wait reason in the logs and metrics.

Change: the reason is "takeover".

TestFencedByFewWorkers checks the reason and failed before.

--- a/internal/cell/predecessor.go
+++ b/internal/cell/predecessor.go
@@ -91,7 +91,7 @@
 			n.leaseExpiry = max(n.leaseExpiry, now+o.takeoverSpan())
 		}
 	}
-	o.passDue = true
+	o.passDue, o.nextPass = true, max(now, o.passiveUntil)
 	event.CellEstablished.Log(o.Log).Int64("epoch", o.Epoch).Int("workers", former).Int("responded", responded).
 		Bool("recorded", o.startsRecorded).Dur("after", now-o.startedAt).Send()
 }
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -42,11 +42,18 @@
 
 // schedule assigns waiting tasks to workers, in the order of their rank.
 func (o *Owner) schedule(now time.Duration) {
-	if !o.listIsFresh(now) || o.passive(now) {
+	if !o.listIsFresh(now) {
 		o.passDue = true
 		return
 	}
 	defer o.delayNextPass(now)
+	if o.passive(now) {
+		for _, g := range o.waitingGroups(now) {
+			o.setWaitReason(g.step, ReasonTakeover, now)
+		}
+		o.passDue, o.nextPass = true, now+passivePassInterval
+		return
+	}
 	o.unresolved = resource.Vector{}
 	if now < o.resolveUntil {
 		o.unresolved = o.unresolvedCapacity(now)
@@ -93,6 +100,9 @@
 	stepsPerClockRead = 8
 )
 
+// passivePassInterval is the interval between two passes that only record why work waits.
+const passivePassInterval = 100 * time.Millisecond
+
 // maxPassFraction is the maximum fraction of time spent on passes. They take long
 // with a large backlog, and requests and responses must not wait behind them.
 const maxPassFraction = 0.25
--- a/internal/cell/split_test.go
+++ b/internal/cell/split_test.go
@@ -119,6 +119,7 @@
 	s.claim()
 	s.owner.unreachable = map[string]bool{"w02": true, "w03": true, "w04": true, "w05": true, "w06": true, "w07": true}
 	s.run(8 * time.Second) // the owner waits for the hosts that it does not hear
+	assert.Equal(t, s.owner.jobs["a"].steps[0].waitReason, ReasonTakeover)
 	before := s.starts
 	s.run(16 * time.Second)
 	assert.Assert(t, s.starts >= before+24, "the owner goes on with the workers that it reaches: %d starts", s.starts-before)
