fix: count restarted workers for the majority only after a confirmation by the store

Callers would see tasks run again after their end: half of the workers have rejected the token of an owner that is cut off, one of them restarts without the token, and its answers give the owner a majority again.

Cause: a restarted worker has seen no token, so its answer proves nothing. The passive phase lasted its full time also when nothing was left to wait for.

Change: an incarnation counts only if the owner has seen it, in the list or by a response, before the store last confirmed the ownership. The passive phase ends once all workers of the stored directory have responded: the former owner starts work without a record on these only.

--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -118,6 +118,9 @@
 		n.nextRenewal = now
 		o.passDue = true
 	}
+	if w.Born != n.worker.Born {
+		n.bornListedAt = o.workersListedAt
+	}
 	addressChanged := n.worker.Address != "" && n.worker.Address != w.Address
 	n.worker = w
 	n.listed = true
@@ -150,7 +153,7 @@
 func (o *Owner) handleRestart(n *node, incarnation int64, now time.Duration) {
 	event.CellWorkerRestarted.Log(o.Log).Str("worker", n.worker.ID).Int64("born", incarnation).Int64("before", n.incarnation).
 		Int("runs", len(n.runs)).Send()
-	n.incarnation = incarnation
+	n.setIncarnation(incarnation, now)
 	n.responded, n.resolved = false, false
 	n.fenceSeq++
 	n.clock, n.clockReadAt = 0, 0
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -32,10 +32,12 @@
 
 	// State of the worker's current incarnation.
 	incarnation    int64
-	responded      bool  // it has responded under the current fencing token
-	fenced         bool  // it has rejected this owner's fencing token
-	resolved       bool  // all that it runs and all its ends were listed in such a response
-	fenceSeq       int64 // increments of the fencing token within this ownership
+	incarnatedAt   time.Duration // when this incarnation was first observed, in a response or in the list
+	bornListedAt   time.Duration // when the list first had the incarnation of worker
+	responded      bool          // it has responded under the current fencing token
+	fenced         bool          // it has rejected this owner's fencing token
+	resolved       bool          // all that it runs and all its ends were listed in such a response
+	fenceSeq       int64         // increments of the fencing token within this ownership
 	clock          time.Duration
 	clockReadAt    time.Duration // upper bound of the local time at which clock was read
 	leaseExpiry    time.Duration // local time at which its lease must have expired
@@ -153,6 +155,14 @@
 	return n.worker.Born == 0 || n.incarnation == 0 || n.worker.Born == n.incarnation
 }
 
+// setIncarnation records the incarnation that was observed at the given time.
+func (n *node) setIncarnation(incarnation int64, at time.Duration) {
+	if n.worker.Born == incarnation {
+		at = min(at, n.bornListedAt)
+	}
+	n.incarnation, n.incarnatedAt = incarnation, at
+}
+
 // clockAt returns a lower bound of the worker's clock at a local time.
 func (n *node) clockAt(now time.Duration) time.Duration { return n.clock + now - n.clockReadAt }
 
--- a/internal/cell/predecessor.go
+++ b/internal/cell/predecessor.go
@@ -59,12 +59,31 @@
 
 // establish ends the passive phase of a takeover if half of the former owner's workers have
 // responded under this owner's fencing token. The former owner acts without the store only
-// while a majority of them has confirmed its ownership within confirmationValidity.
+// while a majority of them has confirmed its ownership within confirmationValidity. Once all
+// have responded, it can start nothing any more.
 func (o *Owner) establish(now time.Duration) {
-	if !o.unestablished {
+	if !o.passive(now) {
 		return
 	}
-	former, responded := 0, 0
+	former, responded := o.formerResponded()
+	switch {
+	case o.unestablished && (2*responded >= former || now-o.startedAt >= maxPassive):
+		o.beginSoleOwnership(now, former, responded)
+	case o.unestablished:
+		return
+	}
+	if responded == former && o.passive(now) {
+		o.startsRecorded, o.passiveUntil = true, now
+		o.passDue, o.nextPass = true, now
+		for _, n := range o.sortedNodes {
+			n.nextRenewal = min(n.nextRenewal, now)
+		}
+	}
+}
+
+// formerResponded counts the workers of the stored directory at the takeover, and those of
+// them that have responded or were replaced.
+func (o *Owner) formerResponded() (former, responded int) {
 	for _, n := range o.sortedNodes {
 		if n.formerDirectory {
 			former++
@@ -73,9 +92,11 @@
 			}
 		}
 	}
-	if 2*responded < former && now-o.startedAt < maxPassive {
-		return
-	}
+	return former, responded
+}
+
+// beginSoleOwnership records that the former owner stops within confirmationValidity.
+func (o *Owner) beginSoleOwnership(now time.Duration, former, responded int) {
 	o.unestablished = false
 	o.soleFrom = now + confirmationValidity + leaseMargin
 	o.startsRecorded = o.Predecessor == PredecessorRecorded || o.PredecessorRecordedUntil >= o.soleFrom
@@ -131,13 +152,16 @@
 // responded under this owner's fencing token to calls sent within confirmationValidity.
 // Others may be listed that never respond, such as entries of other writers. A successor
 // finds either the directory that was written last or the one before it.
+//
+// A worker that has restarted since the store last confirmed the ownership does not count as
+// confirmed: it may have lost the fencing token of a successor.
 func (o *Owner) majorityConfirmed(now time.Duration) bool {
 	if now-o.ownershipConfirmedAt > MaxIsolation && o.Isolated() {
 		return false
 	}
 	var last, saved, lastConfirmed, savedConfirmed int
 	for _, n := range o.sortedNodes {
-		confirmed := n.responded && now-n.confirmedAt < confirmationValidity
+		confirmed := n.responded && now-n.confirmedAt < confirmationValidity && n.incarnatedAt <= o.ownershipConfirmedAt
 		if n.lastDirectory {
 			last++
 			if confirmed {
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -109,8 +109,8 @@
 		o.handleRestart(n, response.Born, received)
 		return
 	}
-	if response.Born != 0 {
-		n.incarnation = response.Born
+	if response.Born != 0 && response.Born != n.incarnation {
+		n.setIncarnation(response.Born, received)
 	}
 	if n.missedRenewals > 1 {
 		event.CellWorkerResponding.Log(o.Log).Str("worker", n.worker.ID).Dur("silent", received-n.lastResponse).
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -17,62 +17,38 @@
 
 // sim runs owners, workers and a store in virtual time.
 type sim struct {
-	t               *testing.T
-	rng             *rand.Rand
-	now             time.Duration
-	queue           eventQueue
-	serial          int
-	tables          *work.Tables
-	removedQueue    work.Queue // queue of the last version of the tables that had one
-	workers         map[string]*simWorker
-	jobs            map[string]*simJob
-	store           simStore
-	owner           *simOwner
-	epoch           int64
-	starts          int             // runs that workers have started
-	ackedDone       map[string]bool // tasks whose end as done was acknowledged
-	ackedFailures   map[string]int  // acknowledged failures by task
-	trace           []string
-	entriesExpired  bool          // every other worker's entry in the store has expired
-	directory       []work.Worker // worker directory as the last owner recorded it
-	listStale       bool          // the worker list is not read
-	listInterval    time.Duration // between two reads of the worker list
-	listDelay       time.Duration // from the start of a read until it is applied
-	replacedWorkers int           // workers that are gone for good
-	freshProcess    bool          // owners are processes that have just started
-	connected       bool          // successors have heard from their predecessor
-	asksPeers       bool          // owners start nothing without a record if a host has access to the store
-	processor       processor     // of the owners
-	adviser         simAdviser
+	t                *testing.T
+	rng              *rand.Rand
+	now              time.Duration
+	queue            eventQueue
+	serial           int
+	tables           *work.Tables
+	removedQueue     work.Queue // queue of the last version of the tables that had one
+	workers          map[string]*simWorker
+	jobs             map[string]*simJob
+	store            simStore
+	owner            *simOwner
+	epoch            int64
+	starts           int             // runs that workers have started
+	ackedDone        map[string]bool // tasks whose end as done was acknowledged
+	ackedFailures    map[string]int  // acknowledged failures by task
+	trace            []string
+	entriesExpired   bool          // every other worker's entry in the store has expired
+	directory        []work.Worker // worker directory as the last owner recorded it
+	listStale        bool          // the worker list is not read
+	listInterval     time.Duration // between two reads of the worker list
+	listDelay        time.Duration // from the start of a read until it is applied
+	replacedWorkers  int           // workers that are gone for good
+	freshProcess     bool          // owners are processes that have just started
+	connected        bool          // successors have heard from their predecessor
+	ownerReachesRest bool          // in some splits the owner reaches all workers
+	asksPeers        bool          // owners start nothing without a record if a host has access to the store
+	processor        processor     // of the owners
+	adviser          simAdviser
 	// loseResponse and delayRequest are the probabilities of these faults per request.
 	loseResponse, delayRequest float64
 }
 
-type simEvent struct {
-	at     time.Duration
-	serial int
-	fn     func()
-}
-
-type eventQueue []simEvent
-
-func (q eventQueue) Len() int { return len(q) }
-
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].serial < q[j].serial
-}
-
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-func (q *eventQueue) Push(x any) { *q = append(*q, x.(simEvent)) }
-
-func (q *eventQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 type simJob struct {
 	spec      *work.Job
 	cancelled bool
@@ -220,9 +196,10 @@
 	}
 	if s.asksPeers {
 		o.PeersLostStore = func() bool { return s.now >= o.peers.until }
-		s.after(0, o.heartbeat)
 	}
-	o.Isolated = func() bool { return o.cut }
+	s.after(0, o.heartbeat)
+	o.peers.heardAt = s.now
+	o.Isolated = func() bool { return s.now-o.peers.heardAt >= MaxIsolation }
 	s.owner = o
 	s.tracef("owner of epoch %d takes over", s.epoch)
 	o.Epoch = s.epoch
--- a/internal/cell/split_test.go
+++ b/internal/cell/split_test.go
@@ -14,6 +14,7 @@
 type simPeers struct {
 	until         time.Duration // until when the owner knows of a host with access to the store
 	recordedUntil time.Duration // until when that host knows that all starts are recorded
+	heardAt       time.Duration // when the owner last heard from another host
 }
 
 // heartbeat models the heartbeats of a host that has access to the store.
@@ -26,11 +27,11 @@
 	case s.store.down:
 		o.peers.recordedUntil = 0
 		if !o.cut && !o.frozen {
-			o.peers.until = 0
+			o.peers.until, o.peers.heardAt = 0, s.now
 		}
 	case !o.cut && !o.frozen:
-		o.peers = simPeers{until: s.now + span}
-		if o.Recorded() {
+		o.peers = simPeers{until: s.now + span, heardAt: s.now}
+		if s.asksPeers && o.Recorded() {
 			o.peers.recordedUntil = s.now + span - margin
 		}
 	}
@@ -42,7 +43,7 @@
 func (s *sim) split(withOwner func(id string) bool, delay, length time.Duration) {
 	former := s.owner
 	former.cut, former.unreachable = true, map[string]bool{}
-	ownerReachesAll := s.rng.IntN(3) == 0
+	ownerReachesAll := s.ownerReachesRest && s.rng.IntN(3) == 0
 	others := map[string]bool{}
 	for id, w := range s.workers {
 		if withOwner(id) {
@@ -129,6 +130,45 @@
 	assert.Assert(t, former.ownershipLost)
 }
 
+// TestRestartedWorkerDoesNotConfirm guards against an owner that acts again beside its
+// successor: half of the workers have rejected its token, and one of these restarts without it.
+func TestRestartedWorkerDoesNotConfirm(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.connected = true
+	s.claim()
+	s.submit("a", newStep(96, 4*time.Second))
+	s.run(time.Second)
+	former := s.owner
+	s.split(func(id string) bool { return id < "w04" }, 1300*time.Millisecond, 15*time.Second)
+	s.run(5 * time.Second)
+	s.workers["w04"].crash(100 * time.Millisecond)
+	former.unreachable = map[string]bool{"w05": true, "w06": true, "w07": true}
+	s.owner.unreachable["w04"] = true
+	s.run(90 * time.Second)
+	s.assertState("a", work.StateCompleted)
+}
+
+// TestNoWaitAfterAllWorkersAreFenced guards against work that stands still although the former
+// owner can start nothing any more, because every worker has seen a higher fencing token.
+func TestNoWaitAfterAllWorkersAreFenced(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.connected = true
+	s.claim()
+	s.submit("a", newStep(64, 3*time.Second))
+	s.run(time.Second)
+	s.owner.cut = true
+	s.run(2500 * time.Millisecond)
+	s.submit("b", newStep(2, time.Second))
+	s.claim()
+	before := s.starts
+	s.run(s.now + time.Second)
+	assert.Assert(t, s.starts >= before+3, "accepted work goes on: %d starts", s.starts-before)
+	s.run(60 * time.Second)
+	s.assertState("a", work.StateCompleted)
+	s.assertState("b", work.StateCompleted)
+	assert.Equal(t, s.starts, 66, "each task is started once")
+}
+
 // TestNoWaitAfterRepeatedCuts cuts off each of three owners soon after its takeover. The third
 // successor knows that neither of the former owners starts work without a record.
 func TestNoWaitAfterRepeatedCuts(t *testing.T) {
@@ -181,7 +221,7 @@
 	for seed := uint64(1); seed <= uint64(*seedsFlag); seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			s := newSim(t, seed, 8)
-			s.connected, s.asksPeers = true, s.rng.IntN(2) == 0
+			s.connected, s.ownerReachesRest, s.asksPeers = true, true, s.rng.IntN(2) == 0
 			for range 3 {
 				s.after(time.Duration(s.rng.Int64N(int64(length))), func() {
 					if s.owner.cut || s.store.down {
