Review: case 6, ends of a minion that has started again are acknowledged unseen

Cause: the first lease renewal after a restart of a minion carries the number of the last end of its former life. The minion forgets the ends of its new life, and the tasks are started again after they were done.

--- /dev/null
+++ b/review/rig/record.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Record writes record.txt and keeps what the checks need.
+type Record struct {
+	mu      sync.Mutex
+	file    *os.File
+	begun   time.Time
+	starts  []startEvent
+	ends    []endEvent
+	seenBy  map[lifeKey]int64 // highest seenUpto that a life of a minion has received
+	started map[string]time.Time
+}
+
+type lifeKey struct {
+	minion string
+	born   int64
+}
+
+type startEvent struct {
+	at   time.Time
+	life lifeKey
+	task string
+	run  int64
+}
+
+type endEvent struct {
+	at   time.Time
+	life lifeKey
+	n    int64
+	task string
+	run  int64
+	how  string
+}
+
+func newRecord(path string) (r *Record, err error) {
+	r = &Record{begun: time.Now(), seenBy: map[lifeKey]int64{}, started: map[string]time.Time{}}
+	r.file, err = os.Create(path)
+	return r, err
+}
+
+// write writes one line: the time in milliseconds, what happened, and its details.
+func (r *Record) write(what string, details ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.line(what, details...)
+}
+
+func (r *Record) line(what string, details ...any) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%7d %s", time.Since(r.begun).Milliseconds(), what)
+	for i := 0; i+1 < len(details); i += 2 {
+		fmt.Fprintf(&b, " %v=%v", details[i], details[i+1])
+	}
+	fmt.Fprintln(r.file, b.String())
+}
+
+func (r *Record) start(minion string, born int64, task string, run int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts = append(r.starts, startEvent{time.Now(), lifeKey{minion, born}, task, run})
+	r.line("start", "minion", minion, "born", born, "task", task, "run", run)
+}
+
+func (r *Record) end(minion string, born, n int64, task string, run int64, how string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ends = append(r.ends, endEvent{time.Now(), lifeKey{minion, born}, n, task, run, how})
+	r.line("end", "minion", minion, "born", born, "n", n, "task", task, "run", run, "how", how)
+}
+
+func (r *Record) seen(minion string, born, upto int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := lifeKey{minion, born}
+	r.seenBy[key] = max(r.seenBy[key], upto)
+	r.line("seen", "minion", minion, "born", born, "upto", upto)
+}
+
+// startsAfterDone returns the starts of tasks after a run of them has ended `done`, where
+// that end was taken note of.
+func (r *Record) startsAfterDone() (found []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.ends {
+		if e.how != "done" || r.seenBy[e.life] < e.n {
+			continue
+		}
+		for _, s := range r.starts {
+			if s.task == e.task && s.at.After(e.at) {
+				found = append(found, fmt.Sprintf("task %s: run %d ended done on %s as end %d at %d ms and was taken note of, run %d started on %s at %d ms",
+					e.task, e.run, e.life.minion, e.n, e.at.Sub(r.begun).Milliseconds(), s.run, s.life.minion, s.at.Sub(r.begun).Milliseconds()))
+			}
+		}
+	}
+	return found
+}
