--- a/review/rig/case_probation.go
+++ b/review/rig/case_probation.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -82,29 +81,10 @@
 		return nil, err
 	}
 	c.log.write("end-of-traffic")
-	time.Sleep(finish)
-	var idleSince time.Time
-	for until := time.Now().Add(idleLimit + watched); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
-		_, state, _ := cl.call("GET", "/settle/"+job, nil)
-		if strings.Contains(state, "completed") || runs(only, job) {
-			return nil, nil
-		}
-		if idleSince.IsZero() {
-			idleSince = time.Now()
-		}
-	}
-	_, state, _ := cl.call("GET", "/settle/"+job, nil)
-	found = append(found, fmt.Sprintf("job %s has had nothing running for %d s, from %d s after the end of the traffic on; its state is %s; minion %s runs %v, and 30 of its 32 cores are free",
-		job, int(time.Since(idleSince).Seconds()), int(finish.Seconds()), strings.TrimSpace(state), only.id, only.running()))
-	return found, nil
-}
-
-// runs reports whether a task of the job runs on the minion.
-func runs(m *Minion, job string) bool {
-	for _, task := range m.running() {
-		if strings.HasPrefix(task, job+".") {
-			return true
-		}
+	idle, state := c.watchIdle(cl, "/settle/", job)
+	if idle < idleLimit {
+		return nil, nil
 	}
-	return false
+	return broken{fmt.Sprintf("job %s has had nothing running for %d s, from %d s after the end of the traffic on; its state is %s; minion %s runs %v, and 30 of its 32 cores are free",
+		job, int(idle.Seconds()), int(finish.Seconds()), state, only.id, only.running())}, nil
 }
--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -66,13 +66,13 @@
 	_ = os.RemoveAll(c.dir)
 }
 
-// configure writes a configuration with the given routes.
+// configure writes a configuration with the given routes, in the order of their priority.
 func (c *Cell) configure(routes ...string) {
 	var list []map[string]any
-	for _, name := range routes {
+	for priority, name := range routes {
 		list = append(list, map[string]any{
 			"name": name, "host": clientHost, "pathPrefix": "/" + name + "/", "timeoutMs": 5000, "targetLatencyMs": 1000,
-			"priority": 0, "service": service, "attempts": 3, "stretch": 2,
+			"priority": priority, "service": service, "attempts": 3, "stretch": 2,
 		})
 	}
 	c.store.put("op/config", map[string]any{
@@ -215,8 +215,7 @@
 	return fmt.Errorf("host %s is not ready", h.name)
 }
 
-// owner returns the host that gave the last order, by its log: the one that claimed the
-// cell last.
+// logs returns what a host has logged.
 func (c *Cell) logs(host *Host) string {
 	data, _ := os.ReadFile(filepath.Join(c.dir, host.name+".log"))
 	return string(data)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,7 +23,8 @@
 var cases = map[string]func(c *Cell, trouble bool) (broken, error){
 	"reborn":    reborn,
 	"probation": probation,
-	"shutdown":  shutdown,
+	"gang":      gangWaits,
+	"long":      longJob,
 }
 
 func main() {
