Review: count only ends that the minion has forgotten as taken note of

Cause: a random run of the stand-ins counted ends as taken note of that a stale number had reached before they happened. Change: the stand-in records each end when it drops it.

--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -33,20 +33,19 @@
 
 // life is one incarnation of a minion.
 type life struct {
-	m        *Minion
-	born     int64
-	started  time.Time
-	server   *http.Server
-	mu       sync.Mutex
-	over     bool
-	fence    int64
-	lease    time.Duration // on the minion's clock
-	runs     map[runKey]*run
-	highest  map[string]int64 // by task: highest run that was stopped or has ended here
-	ends     []end
-	lastEnd  int64
-	ended    chan struct{}
-	seenUpto int64
+	m       *Minion
+	born    int64
+	started time.Time
+	server  *http.Server
+	mu      sync.Mutex
+	over    bool
+	fence   int64
+	lease   time.Duration // on the minion's clock
+	runs    map[runKey]*run
+	highest map[string]int64 // by task: highest run that was stopped or has ended here
+	ends    []end
+	lastEnd int64
+	ended   chan struct{}
 }
 
 type runKey struct {
@@ -296,11 +295,8 @@
 	if in.DeadlineMs > 0 {
 		l.extend(in.DeadlineMs)
 	}
-	if in.SeenUpto > l.seenUpto {
-		l.m.log.seen(l.m.id, l.born, in.SeenUpto)
-	}
-	l.seenUpto = max(l.seenUpto, in.SeenUpto)
 	for len(l.ends) > 0 && l.ends[0].n <= in.SeenUpto {
+		l.m.log.noted(l.m.id, l.born, l.ends[0].n, in.SeenUpto)
 		l.ends = l.ends[1:]
 	}
 	timer := time.NewTimer(time.Duration(min(in.WaitMs, 2000)) * time.Millisecond)
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -10,13 +10,12 @@
 
 // Record writes record.txt and keeps what the checks need.
 type Record struct {
-	mu      sync.Mutex
-	file    *os.File
-	begun   time.Time
-	starts  []startEvent
-	ends    []endEvent
-	seenBy  map[lifeKey]int64 // highest seenUpto that a life of a minion has received
-	started map[string]time.Time
+	mu     sync.Mutex
+	file   *os.File
+	begun  time.Time
+	starts []startEvent
+	ends   []endEvent
+	notes  map[endKey]bool // ends that were taken note of
 }
 
 type lifeKey struct {
@@ -24,6 +23,11 @@
 	born   int64
 }
 
+type endKey struct {
+	life lifeKey
+	n    int64
+}
+
 type startEvent struct {
 	at   time.Time
 	life lifeKey
@@ -41,7 +45,7 @@
 }
 
 func newRecord(path string) (r *Record, err error) {
-	r = &Record{begun: time.Now(), seenBy: map[lifeKey]int64{}, started: map[string]time.Time{}}
+	r = &Record{begun: time.Now(), notes: map[endKey]bool{}}
 	r.file, err = os.Create(path)
 	return r, err
 }
@@ -76,12 +80,11 @@
 	r.line("end", "minion", minion, "born", born, "n", n, "task", task, "run", run, "how", how)
 }
 
-func (r *Record) seen(minion string, born, upto int64) {
+func (r *Record) noted(minion string, born, n, seenUpto int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := lifeKey{minion, born}
-	r.seenBy[key] = max(r.seenBy[key], upto)
-	r.line("seen", "minion", minion, "born", born, "upto", upto)
+	r.notes[endKey{lifeKey{minion, born}, n}] = true
+	r.line("noted", "minion", minion, "born", born, "n", n, "seenUpto", seenUpto)
 }
 
 // startsAfterDone returns the starts of tasks after a run of them has ended `done`, where
@@ -90,7 +93,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range r.ends {
-		if e.how != "done" || r.seenBy[e.life] < e.n {
+		if e.how != "done" || !r.notes[endKey{e.life, e.n}] {
 			continue
 		}
 		for _, s := range r.starts {
