--- a/review/rig/case_long.go
+++ b/review/rig/case_long.go
@@ -17,12 +17,25 @@
 // of seven minions. The rule LOST is checked for a job that comes longFor later and may run on
 // two of them.
 func longJob(c *Cell, trouble bool) (found broken, err error) {
-	work := map[string]time.Duration{"lasts": 0, "long": longWork, "short": 500 * time.Millisecond}
+	return c.afterJob("/settle/2222222222222222", "long", map[string]any{"count": 1, "cpu": 1000, "memMb": 512}, trouble)
+}
+
+// loop is like longJob with another lasting job, whose task fails soon after each start.
+func loop(c *Cell, trouble bool) (found broken, err error) {
+	return c.afterJob("/watch/2222222222222222", "loop", map[string]any{"count": 1, "cpu": 1000, "memMb": 512, "longRunning": true}, trouble)
+}
+
+// afterJob submits the given job while a lasting task runs on each of seven minions, and
+// checks a job that comes longFor later and may run on two of the minions.
+func (c *Cell) afterJob(path, spec string, step map[string]any, trouble bool) (found broken, err error) {
+	work := map[string]time.Duration{"lasts": 0, "loop": 0, "long": longWork, "short": 500 * time.Millisecond}
 	c.configure("watch", "settle")
 	for i, kind := range []string{"b", "a", "a", "b", "a", "a", "a"} {
-		if _, err := c.addMinion(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), kind, func(_, spec string) time.Duration { return work[spec] }); err != nil {
+		m, err := c.addMinion(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), kind, func(_, spec string) time.Duration { return work[spec] })
+		if err != nil {
 			return nil, err
 		}
+		m.fails = func(spec string) bool { return spec == "loop" }
 	}
 	if err := c.addHosts(2); err != nil {
 		return nil, err
@@ -42,7 +55,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	if trouble {
-		if err := submit("/settle/2222222222222222", "long", map[string]any{"count": 1, "cpu": 1000, "memMb": 512}); err != nil {
+		if err := submit(path, spec, step); err != nil {
 			return nil, err
 		}
 	}
--- a/review/rig/case_probation.go
+++ b/review/rig/case_probation.go
@@ -39,7 +39,7 @@
 		}
 	}
 	only := c.minions[0]
-	only.failsStarts = grey.Load
+	only.fails = func(string) bool { return grey.Load() }
 	if err := c.addHosts(2); err != nil {
 		return nil, err
 	}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -25,6 +25,7 @@
 	"probation": probation,
 	"gang":      gangWaits,
 	"long":      longJob,
+	"loop":      loop,
 }
 
 func main() {
--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -11,7 +11,7 @@
 // heartbeat is the interval at which a minion writes its entry.
 const heartbeat = 1500 * time.Millisecond
 
-// failsAfter is how long a task works on a minion that fails what it starts.
+// failsAfter is how long a run works that is to fail.
 const failsAfter = 200 * time.Millisecond
 
 // Minion is a stand-in for a minion: a machine with one life after the other under the
@@ -24,8 +24,8 @@
 	log                     *Record
 	// behave returns how long a task works, or 0 if it lasts.
 	behave func(task, spec string) time.Duration
-	// failsStarts, if set, reports whether the minion fails what it starts now.
-	failsStarts func() bool
+	// fails, if set, reports whether a run that starts now is to fail.
+	fails func(spec string) bool
 
 	mu   sync.Mutex
 	life *life
@@ -249,7 +249,7 @@
 	l.runs[key] = started
 	l.m.log.start(l.m.id, l.born, in.Task, in.Run)
 	how := "done"
-	if l.m.failsStarts != nil && l.m.failsStarts() {
+	if l.m.fails != nil && l.m.fails(in.Spec) {
 		started.lasts, started.work, how = false, failsAfter, "failed"
 	}
 	if !started.lasts {
