Review: case 7, tasks run twice after all processes are lost in an outage

Cause: a new owner that has just started has seen no failure of the store, and waits 2.5 s for a minion whose entry has expired, not for its lease. Change: a script with stand-ins for the store and the minions. The cases after it move up by one, as the gravest come first.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 [ -x "$root/target/review-rig" ] || { echo "run review/build-2.sh first"; exit 2; }
-exec "$root/target/review-rig" long "$root" "$here/record.txt"
+exec "$root/target/review-rig" probation "$root" "$here/record.txt"
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 	"gang":      gangWaits,
 	"long":      longJob,
 	"loop":      loop,
+	"outage":    outage,
 }
 
 func main() {
--- a/review/rig/minion.go
+++ b/review/rig/minion.go
@@ -129,7 +129,7 @@
 			return
 		}
 		if !l.m.link.isCut() {
-			l.m.store.put("servers/"+l.m.id, map[string]any{
+			l.m.store.register(l.m.id, map[string]any{
 				"service": l.m.service, "address": l.m.link.address(), "zone": "z1", "version": "1", "slots": 8, "state": "ready",
 				"coldLeftMs": 0, "seq": seq, "born": l.born, "labels": []string{l.m.kind, l.m.rack},
 				"capacity": map[string]any{"cpu": 32000, "memMb": 65536, "gpu": 0},
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -105,3 +106,38 @@
 	}
 	return found
 }
+
+// overlaps returns the pairs of runs of one task that were under way at the same time, on
+// minions that did not crash in between.
+func (r *Record) overlaps() (found []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	type runOf struct {
+		life lifeKey
+		task string
+		run  int64
+	}
+	ended := map[runOf]time.Time{}
+	for _, e := range r.ends {
+		ended[runOf{e.life, e.task, e.run}] = e.at
+	}
+	for i, a := range r.starts {
+		for _, b := range r.starts[i+1:] {
+			if a.task != b.task || a.run == b.run && a.life == b.life {
+				continue
+			}
+			end, ok := ended[runOf{a.life, a.task, a.run}]
+			if !ok || b.at.Before(end) {
+				found = append(found, fmt.Sprintf("task %s: run %d on %s from %d ms, run %d on %s from %d ms, before the first one ended",
+					a.task, a.run, a.life.minion, a.at.Sub(r.begun).Milliseconds(), b.run, b.life.minion, b.at.Sub(r.begun).Milliseconds()))
+			}
+		}
+	}
+	return found
+}
+
+// indexOf returns the index of a task in its step.
+func indexOf(task string) (index int) {
+	index, _ = strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
+	return index
+}
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -27,9 +27,14 @@
 	Removed  bool   `json:"removed,omitempty"`
 }
 
-// Store is a stand-in for the platform's metadata store. It is never down.
+// entryLife is how long the entry of a silent minion stays: three heartbeats.
+const entryLife = 3 * heartbeat
+
+// Store is a stand-in for the platform's metadata store.
 type Store struct {
 	mu       sync.Mutex
+	silent   bool
+	written  map[string]time.Time // when the entry of a minion was last written
 	revision int64
 	items    map[string]item
 	history  []item
@@ -37,7 +42,52 @@
 }
 
 func newStore() *Store {
-	return &Store{revision: 10, items: map[string]item{}, changed: make(chan struct{})}
+	s := &Store{revision: 10, items: map[string]item{}, changed: make(chan struct{}), written: map[string]time.Time{}}
+	go s.expireEntries()
+	return s
+}
+
+// setSilent makes the store give no answer, or answer again.
+func (s *Store) setSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+func (s *Store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
+// expireEntries removes the entries of minions that have been silent for entryLife, also
+// while the store gives no answer.
+func (s *Store) expireEntries() {
+	for {
+		time.Sleep(50 * time.Millisecond)
+		s.mu.Lock()
+		for key, at := range s.written {
+			if time.Since(at) > entryLife {
+				delete(s.written, key)
+				s.revision++
+				s.write(key, nil, true)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// register writes the entry of a minion, and reports whether the store has accepted it.
+func (s *Store) register(id string, entry any) bool {
+	if s.isSilent() {
+		return false
+	}
+	key := "servers/" + id
+	s.put(key, entry)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.written[key] = time.Now()
+	return true
 }
 
 // write sets or removes a key. The caller holds the lock.
@@ -66,16 +116,6 @@
 	s.write(key, data, false)
 }
 
-// remove removes a key.
-func (s *Store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; ok {
-		s.revision++
-		s.write(key, nil, true)
-	}
-}
-
 // serve serves the store on a free port of a loopback address.
 func (s *Store) serve() (address string, err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -89,6 +129,10 @@
 // ServeHTTP answers the calls of the system.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
+	if s.isSilent() {
+		<-r.Context().Done()
+		return
+	}
 	query := r.URL.Query()
 	switch {
 	case r.URL.Path == "/-/kv-key":
