--- a/review/rig/case_gang.go
+++ b/review/rig/case_gang.go
@@ -23,7 +23,7 @@
 	cl := newClient(c.hosts[0])
 	submit := func(path, spec string, count, cpu int, gang bool) error {
 		status, _, err := cl.call("POST", path, map[string]any{"spec": spec, "steps": []map[string]any{{
-			"count": count, "cpu": cpu, "memMb": 7800, "estimateMs": work[spec].Milliseconds(), "gang": gang,
+			"count": count, "cpu": cpu, wire["memory"]: 7800, "estimateMs": work[spec].Milliseconds(), "gang": gang,
 		}}})
 		if err != nil || status != 200 {
 			return fmt.Errorf("POST %s: status %d, %v", path, status, err)
--- a/review/rig/case_outage.go
+++ b/review/rig/case_outage.go
@@ -41,7 +41,7 @@
 	time.Sleep(5 * time.Second)
 	cl := newClient(c.hosts[0])
 	status, _, err := cl.call("POST", "/settle/5c0e000000000000", map[string]any{"spec": "settle", "steps": []map[string]any{
-		{"count": firstTasks + 24, "cpu": 5500, "memMb": 256, "estimateMs": 6000},
+		{"count": firstTasks + 24, "cpu": 5500, wire["memory"]: 256, "estimateMs": 6000},
 	}})
 	if err != nil || status != 200 {
 		return nil, fmt.Errorf("POST: status %d, %v", status, err)
--- a/review/rig/case_probation.go
+++ b/review/rig/case_probation.go
@@ -46,7 +46,7 @@
 	time.Sleep(4 * time.Second)
 	cl := newClient(c.hosts[0])
 	step := func(count, cpu int, label string, lasts bool) map[string]any {
-		return map[string]any{"count": count, "cpu": cpu, "memMb": 512, "estimateMs": 500, "constraints": label, "longRunning": lasts}
+		return map[string]any{"count": count, "cpu": cpu, wire["memory"]: 512, "estimateMs": 500, "constraints": label, "longRunning": lasts}
 	}
 	submit := func(path, spec string, steps ...map[string]any) error {
 		status, _, err := cl.call("POST", path, map[string]any{"spec": spec, "steps": steps})
--- a/review/rig/case_reborn.go
+++ b/review/rig/case_reborn.go
@@ -99,7 +99,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 		status, _, _ := clients[i%len(clients)].call("POST", fmt.Sprintf("/bids/%016x", 0x5c0e000000000000+i), map[string]any{
-			"spec": "bid", "steps": []map[string]any{{"count": 6, "cpu": 500, "memMb": 256, "estimateMs": shortTask.Milliseconds(), "constraints": "b"}},
+			"spec": "bid", "steps": []map[string]any{{"count": 6, "cpu": 500, wire["memory"]: 256, "estimateMs": shortTask.Milliseconds(), "constraints": "b"}},
 		})
 		if status == 200 {
 			accepted++
--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -71,7 +71,7 @@
 	var list []map[string]any
 	for priority, name := range routes {
 		list = append(list, map[string]any{
-			"name": name, "host": clientHost, "pathPrefix": "/" + name + "/", "timeoutMs": 5000, "targetLatencyMs": 1000,
+			"name": name, "host": clientHost, wire["prefix"]: "/" + name + "/", "timeoutMs": 5000, wire["target"]: 1000,
 			"priority": priority, "service": service, "attempts": 3, "stretch": 2,
 		})
 	}
@@ -79,7 +79,7 @@
 		"version": 7, "routes": list,
 		"services": []map[string]any{{"name": service, "admissionCheck": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 5000, "idleTimeoutMs": 60000},
-		"tenants":  []map[string]any{{"name": "tenant-1", "apiKeys": []string{clientKey}, "weight": 100, "maximum": map[string]any{}}},
+		"tenants":  []map[string]any{{"name": "tenant-1", wire["keys"]: []string{clientKey}, "weight": 100, "maximum": map[string]any{}}},
 	})
 }
 
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -82,11 +82,11 @@
 	r.line("end", "minion", minion, "born", born, "n", n, "task", task, "run", run, "how", how)
 }
 
-func (r *Record) noted(minion string, born, n, seenUpto int64) {
+func (r *Record) noted(minion string, born, n, upto int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.notes[endKey{lifeKey{minion, born}, n}] = true
-	r.line("noted", "minion", minion, "born", born, "n", n, "seenUpto", seenUpto)
+	r.line("noted", "minion", minion, "born", born, "n", n, "upto", upto)
 }
 
 // startsAfterDone returns the starts of tasks after a run of them has ended `done`, where
