--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -215,12 +215,6 @@
 	return fmt.Errorf("host %s is not ready", h.name)
 }
 
-// logs returns what a host has logged.
-func (c *Cell) logs(host *Host) string {
-	data, _ := os.ReadFile(filepath.Join(c.dir, host.name+".log"))
-	return string(data)
-}
-
 // client is a client with one open connection to a host.
 type client struct {
 	host *Host
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -66,11 +66,6 @@
 
 func play(name string, cell *Cell, trouble bool) int {
 	found, err := cases[name](cell, trouble)
-	if os.Getenv("KEEP_LOGS") != "" {
-		for _, h := range cell.hosts {
-			_ = os.WriteFile("/tmp/"+h.name+".log", []byte(cell.logs(h)), 0o600)
-		}
-	}
 	if err != nil {
 		cell.log.write("error", "error", err)
 		fmt.Println("could not run:", err)
