fix: send orders only to the incarnation of a minion that they are for

Cause: an order names a minion by its id, which outlives the process. Clocks, ends, tickets and labels are those of one incarnation.

After a missed renewal the owner queries before it acknowledges.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -50,6 +50,7 @@
 	Throttle *work.RunRequest   `cbor:"7,keyasint,omitempty"`
 	Percent  int                `cbor:"8,keyasint,omitempty"` // of Throttle: maximum processor usage
 	Renew    *work.RenewRequest `cbor:"9,keyasint,omitempty"`
+	Born     int64              `cbor:"10,keyasint,omitempty"` // incarnation of the worker that may execute it; 0: any
 }
 
 // Response is the worker's response to the request with the same number.
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
 	defer cancel()
 	response.Number = request.Number
-	w := work.Worker{ID: request.Worker, Address: request.Address}
+	w := work.Worker{ID: request.Worker, Address: request.Address, Born: request.Born}
 	switch {
 	case request.Start != nil:
 		response.Run, err = s.Targets.Start(ctx, w, *request.Start)
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -221,9 +223,15 @@
 	}
 }
 
+// usualLabel is the label that all workers have until they start again as another kind.
+const usualLabel = "usual"
+
 // playRandomFaults runs 40 jobs under ten random faults, then without faults until every
 // job has ended.
 func (s *sim) playRandomFaults(length time.Duration) {
+	for _, w := range s.workers {
+		w.worker.Labels = []string{usualLabel}
+	}
 	s.claim()
 	s.loseResponse = []float64{0, 0, 0.02, 0.1}[s.rng.IntN(4)]
 	s.delayRequest = []float64{0, 0, 0.05}[s.rng.IntN(3)]
@@ -232,14 +240,21 @@
 		second := newStep(1+s.rng.IntN(4), time.Second)
 		second.After = []int{0}
 		second.Speculative = i%4 == 0
-		s.after(time.Duration(s.rng.Int64N(int64(length))), func() {
-			s.submit(fmt.Sprintf("j%d", i), newStep(1+s.rng.IntN(6), time.Second), second)
-		})
+		first := newStep(1+s.rng.IntN(6), time.Second)
+		if i%3 == 0 {
+			first.Estimate, first.Label = 150*time.Millisecond, usualLabel
+		}
+		s.after(time.Duration(s.rng.Int64N(int64(length))), func() { s.submit(fmt.Sprintf("j%d", i), first, second) })
 	}
 	for range 10 {
 		s.after(time.Duration(s.rng.Int64N(int64(length))), s.randomFault)
 	}
 	s.run(length)
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		if w := s.workers[id]; !w.worker.HasLabel(usualLabel) {
+			w.restartUnseen(300*time.Millisecond, 0, usualLabel)
+		}
+	}
 	s.entriesExpired = false
 	s.loseResponse, s.delayRequest, s.store.loseWriteResponse = 0, 0, 0
 	s.run(length + 45*time.Second)
@@ -275,7 +290,7 @@
 func (s *sim) randomFault() {
 	w := s.workers[fmt.Sprintf("w%02d", s.rng.IntN(len(s.workers)))]
 	d := time.Duration(s.rng.Int64N(int64(8 * time.Second)))
-	switch s.rng.IntN(10) {
+	switch s.rng.IntN(11) {
 	case 0:
 		s.owner.kill()
 		s.after(d/4, s.claimWhenUp)
@@ -312,6 +327,9 @@
 	case 8:
 		w.stalls = true
 		s.after(d, func() { w.stalls = false })
+	case 10:
+		labels := []string{[]string{usualLabel, "other"}[s.rng.IntN(2)]}
+		w.restartUnseen(100*time.Millisecond+d/10, d/4, labels...)
 	case 6:
 		// A claim while the former owner is still active.
 		s.claimWhenUp()
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -143,6 +143,20 @@
 // fence returns the current fencing token for the worker.
 func (n *node) fence(epoch int64) int64 { return epoch*fencesPerEpoch + n.fenceSeq }
 
+// addressee returns the worker for calls that only the incarnation that has responded may
+// execute: clocks, ends, fencing tokens, labels and tickets are those of one incarnation.
+func (n *node) addressee() (w work.Worker) {
+	w = n.worker
+	w.Born = n.incarnation
+	return w
+}
+
+// query makes the next call to the worker one that any incarnation may execute.
+func (n *node) query(now time.Duration) {
+	n.responded = false
+	n.nextRenewal = now
+}
+
 // usable reports whether the worker may be given work.
 func (n *node) usable(now time.Duration) bool {
 	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && now >= n.cooldownUntil
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -17,12 +17,21 @@
 // which the worker's lease must have expired, even if it is not answered. For an
 // unresponsive worker that time must be reached, because only then can its tasks be
 // restarted elsewhere.
+//
+// Any incarnation may respond to a query after silence. Acknowledgements and deadlines count
+// in terms of the incarnation that has responded last, and no other one may receive them.
 func (o *Owner) renew(n *node, now time.Duration) {
 	request := work.RenewRequest{Fence: n.fence(o.Epoch)}
-	if !o.passive(now) {
+	addressee := n.worker
+	addressee.Born = 0
+	current := n.responded && n.missedRenewals == 0
+	if current {
+		addressee = n.addressee()
+	}
+	if current && !o.passive(now) {
 		request.AckedThrough = n.acknowledge()
 	}
-	if n.missedRenewals == 0 && n.clock != 0 && o.mayExtendLeases(now) {
+	if current && n.clock != 0 && o.mayExtendLeases(now) {
 		request.Deadline = n.clockAt(now) + o.Bounds.MaxLease
 		n.extendLease(now, o.Bounds.MaxLease)
 		if len(n.unackedEnds) == 0 {
@@ -32,7 +41,7 @@
 	n.renewing = true
 	o.Counters.Renewals++
 	fenceSeq, incarnation := n.fenceSeq, n.incarnation
-	o.Renew(n.worker, request, func(response work.RenewResponse, err error) {
+	o.Renew(addressee, request, func(response work.RenewResponse, err error) {
 		n.renewing = false
 		received := o.Now()
 		switch {
@@ -45,6 +54,8 @@
 			n.nextRenewal = received + probeInterval
 		case errs.Is(err, work.ErrOtherIncarnation):
 			o.handleReplaced(n, received)
+		case errs.Is(err, work.ErrRestarted):
+			n.query(received)
 		default:
 			o.handleMissedRenewal(n, err, received)
 		}
@@ -270,7 +281,7 @@
 	event.CellStop.Log(o.Log).Str("task", row.Task.String()).Int64("run", row.Run).Str("worker", n.worker.ID).
 		Str("reason", reason).Send()
 	request := work.RunRequest{Task: row.Task, Run: row.Run, Fence: n.fence(o.Epoch)}
-	o.Stop(n.worker, request, func(_ work.RunResponse, err error) {
+	o.Stop(n.addressee(), request, func(_ work.RunResponse, err error) {
 		if err != nil {
 			event.CellStopFailed.Log(o.Log).Str("task", row.Task.String()).Err(err).Send()
 		}
--- a/internal/cell/restart_test.go
+++ b/internal/cell/restart_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -43,6 +44,46 @@
 	}
 }
 
+// TestRestartBehindShortCut guards against done tasks that run again: a worker starts again
+// behind a cut that is shorter than the time until its owner takes it for unresponsive, its
+// entry follows later, and ends of its new incarnation are acknowledged by the count of the
+// former one. It also starts again as another kind, which must get no work by its former
+// labels. The workers check each start.
+func TestRestartBehindShortCut(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		cut    time.Duration
+		labels []string
+	}{
+		{"short", 100 * time.Millisecond, []string{"b"}},
+		{"longer", 400 * time.Millisecond, []string{"b"}},
+		{"another kind", 400 * time.Millisecond, []string{"a"}},
+		{"no renewal is missed", 20 * time.Millisecond, []string{"b"}},
+		{"another kind, no renewal is missed", 20 * time.Millisecond, []string{"a"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSim(t, 1, 4)
+			for _, w := range s.workers {
+				w.worker.Labels, w.worker.Capacity = []string{"b"}, resource.Vector{MilliCores: 5000, MemoryMB: 64_000}
+			}
+			s.claim()
+			step := newStep(1, 60*time.Millisecond)
+			step.Label = "b"
+			for i := range 1000 {
+				s.after(time.Duration(i)*10*time.Millisecond, func() { s.submit(fmt.Sprintf("j%d", i), step) })
+			}
+			for i, id := range []string{"w01", "w02", "w03"} {
+				w := s.workers[id]
+				s.after(time.Duration(2*i+2)*time.Second, func() { w.restartUnseen(tc.cut, 1500*time.Millisecond, tc.labels...) })
+			}
+			s.run(20 * time.Second)
+			for i := range 1000 {
+				s.assertState(fmt.Sprintf("j%d", i), work.StateCompleted)
+			}
+		})
+	}
+}
+
 // TestReturningWorkerKeepsItsToken guards against an owner that loses the cell to itself: it
 // raised the fencing token of a worker, forgot the worker while the list lacked it, and used
 // the lower token when the worker was back.
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -242,7 +242,7 @@
 	o.Counters.Starts++
 	event.CellStart.Log(o.Log).Str("task", request.Task.String()).Int64("run", r.number).Str("worker", n.worker.ID).
 		Int64("fence", request.Fence).Dur("waited", o.WallClock()-r.task.step.job.spec.Accepted).Send()
-	o.Start(n.worker, request, func(response work.RunResponse, err error) { o.handleStartResponse(r, response, err) })
+	o.Start(n.addressee(), request, func(response work.RunResponse, err error) { o.handleStartResponse(r, response, err) })
 }
 
 // startCheckpoint returns the checkpoint from which a start resumes. All members of
@@ -296,8 +296,10 @@
 	case errs.Is(err, work.ErrUnhealthy):
 		n.cooldownUntil = now + unhealthyCooldown
 	case errs.Is(err, work.ErrOtherIncarnation):
-		n.responded, n.resolved = false, false
-		n.nextRenewal = now
+		n.resolved = false
+		n.query(now)
+	case errs.Is(err, work.ErrRestarted):
+		n.query(now)
 	case errs.Is(err, work.ErrNoCapacity):
 		// The view of the worker is wrong: refresh it before the next start.
 		n.cooldownUntil = now + refusalCooldown
@@ -345,7 +347,7 @@
 	r.stopSentAt = now
 	o.Counters.Stops++
 	request := work.RunRequest{Task: r.task.ref(), Run: r.number, Fence: n.fence(o.Epoch)}
-	o.Stop(n.worker, request, func(response work.RunResponse, err error) {
+	o.Stop(n.addressee(), request, func(response work.RunResponse, err error) {
 		r.stopInFlight = false
 		switch {
 		case err == nil:
@@ -358,6 +360,8 @@
 			}
 		case errs.Is(err, work.ErrFenced):
 			o.handleFenced(n, request.Fence)
+		case errs.Is(err, work.ErrRestarted):
+			n.query(o.Now())
 		}
 	})
 }
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -358,7 +358,7 @@
 		// A delayed request is lost when the incarnation that received it ends.
 		incarnation := sw.worker.Born
 		s.after(time.Duration(2+s.rng.IntN(10))*time.Second, func() {
-			if !sw.down && sw.worker.Born == incarnation {
+			if !sw.down && sw.worker.Born == incarnation && sw.isAddressee(w) {
 				_, _ = fn(sw)
 			}
 		})
@@ -370,6 +370,10 @@
 			noResponse()
 			return
 		}
+		if !sw.isAddressee(w) {
+			s.after(simLatency, func() { o.call(func() { done(work.RunResponse{}, work.ErrRestarted) }) })
+			return
+		}
 		response, err := fn(sw)
 		if s.rng.Float64() < s.loseResponse {
 			noResponse()
@@ -399,6 +403,10 @@
 		if sw.unreachable || sw.down || o.unreachable[w.ID] {
 			return
 		}
+		if !sw.isAddressee(w) {
+			s.after(simLatency, func() { finish(work.RenewResponse{}, work.ErrRestarted) })
+			return
+		}
 		if err := sw.renew(request); err != nil {
 			s.after(simLatency, func() { finish(work.RenewResponse{}, err) })
 			return
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -281,6 +281,20 @@
 	})
 }
 
+// isAddressee reports whether this incarnation may execute a call that is addressed to to.
+func (w *simWorker) isAddressee(to work.Worker) bool { return to.Born == 0 || to.Born == w.worker.Born }
+
+// restartUnseen starts the worker again behind a cut of the given length, with the given
+// labels. Its entry in the store follows after entryDelay.
+func (w *simWorker) restartUnseen(cut, entryDelay time.Duration, labels ...string) {
+	entry := w.worker
+	w.staleEntry = &entry
+	w.disconnect(cut)
+	w.crash(cut / 2)
+	w.worker.Labels = labels
+	w.sim.after(cut+entryDelay, func() { w.staleEntry = nil })
+}
+
 // replace ends the worker; another one is at its address after d.
 func (w *simWorker) replace(d time.Duration) {
 	w.sim.tracef("%s is replaced within %s", w.worker.ID, d)
--- a/internal/cell/throttle.go
+++ b/internal/cell/throttle.go
@@ -50,7 +50,7 @@
 	event.CellThrottle.Log(o.Log).Str("task", r.task.ref().String()).Str("worker", r.node.worker.ID).Int("percent", percent).
 		Int("before", r.throttle).Float64("tail-of-target", worstTail).Send()
 	request := work.RunRequest{Task: r.task.ref(), Run: r.number, Fence: r.node.fence(o.Epoch)}
-	o.Throttle(r.node.worker, request, percent, func(_ work.RunResponse, err error) {
+	o.Throttle(r.node.addressee(), request, percent, func(_ work.RunResponse, err error) {
 		r.throttleInFlight = false
 		if err == nil {
 			r.throttle, r.throttleUnknown = percent, false
--- a/internal/host/carry.go
+++ b/internal/host/carry.go
@@ -47,7 +47,7 @@
 
 // callWorker calls a worker, either directly or through a carrier.
 func (h *Host) callWorker(ctx context.Context, w work.Worker, request carrier.Request, done func(carrier.Response, error)) {
-	request.Worker, request.Address = w.ID, w.Address
+	request.Worker, request.Address, request.Born = w.ID, w.Address, w.Born
 	if address := h.carrierOf(w.ID); address != "" {
 		h.carrierClient.Send(ctx, address, request, done)
 		return
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -21,7 +21,9 @@
 	Capacity  resource.Vector
 	Draining  bool
 	Remaining time.Duration // minimum time until a draining worker leaves
-	Born      int64         // incarnation number: start time in Unix milliseconds; 0: unknown
+	// Born is the incarnation number: the start time in Unix milliseconds. In a call it is
+	// that of the only incarnation that may execute the call. 0: unknown, or any.
+	Born int64
 }
 
 // HasLabel reports whether the worker carries label.
@@ -171,6 +173,7 @@
 	ErrOtherIncarnation = errs.New("worker: another incarnation answers")
 	ErrMalformed        = errs.New("worker: order refused as malformed")
 	ErrNotSent          = errs.New("worker: order not sent")
+	ErrRestarted        = errs.New("worker: started again, order not sent")
 )
 
 // Refusals returns the errors that guarantee that the request was not executed.
@@ -179,6 +182,7 @@
 func Refusals() []error {
 	return []error{
 		ErrFenced, ErrStaleRun, ErrDeadlinePassed, ErrNoCapacity, ErrInvalidTicket, ErrUnhealthy, ErrOtherIncarnation, ErrMalformed, ErrNotSent,
+		ErrRestarted,
 	}
 }
 
