fix: drop placement advice and measured speed with a worker's incarnation

What callers would see: a job whose adviser has not allowed a minion never starts there, although the minion has started again as another kind that is allowed; a minion counts as slow after it has started again.

Change: a restart drops the advice about the worker and how slow it was. An answer of the adviser to a query about the former incarnation is ignored.

Measured: TestAdviceIsForOneIncarnation fails on the code before in both forms (the job is still queued after 15 s) and passes now.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -44,6 +44,21 @@
 // drop removes a ticket that a worker has rejected.
 func (a *advice) drop(worker string) { delete(a.tickets, worker) }
 
+// forgetAdvice drops all advice about a worker whose incarnation has ended: the next one may be
+// of another kind.
+func (o *Owner) forgetAdvice(worker string) {
+	for _, j := range o.active {
+		for _, s := range j.steps {
+			a := &s.advice
+			a.drop(worker)
+			delete(a.allowed, worker)
+			if at, ok := slices.BinarySearch(a.ticketedWorkers, worker); ok {
+				a.ticketedWorkers = slices.Delete(a.ticketedWorkers, at, at+1)
+			}
+		}
+	}
+}
+
 const (
 	// maxQueryWorkers is the maximum number of workers in one placement query.
 	maxQueryWorkers = 100
@@ -106,7 +121,12 @@
 		o.allowedFractions.of(s.job.spec.Queue).add(float64(len(response.Good)) / float64(len(names)))
 		// The response may have been delayed in transit: the validity of the tickets
 		// counts from the earliest time at which it can have been given.
-		a.recordResponse(names, incarnations, response, now+cost+min(response.Valid, policy.Valid))
+		restarted := func(worker string) bool {
+			n := o.nodes[worker]
+			return n == nil || n.incarnation != incarnations[worker]
+		}
+		response.Good = slices.DeleteFunc(response.Good, func(good work.Ticket) bool { return restarted(good.Worker) })
+		a.recordResponse(slices.DeleteFunc(slices.Clone(names), restarted), incarnations, response, now+cost+min(response.Valid, policy.Valid))
 		event.CellAdvice.Log(o.Log).Str("step", request.Step).Int("workers", len(names)).Int("good", len(response.Good)).
 			Dur("took", o.Now()-now).Send()
 	})
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -96,6 +96,32 @@
 	}
 }
 
+// TestAdviceIsForOneIncarnation guards against work that never starts because the adviser has
+// not allowed the former incarnation of a worker: the next one is of another kind, and is
+// allowed. It starts before or while the adviser processes the query.
+func TestAdviceIsForOneIncarnation(t *testing.T) {
+	for _, restartAt := range []time.Duration{300 * time.Millisecond, 110 * time.Millisecond} {
+		t.Run(restartAt.String(), func(t *testing.T) {
+			s := newSim(t, 1, 1)
+			s.tables.Queues[0].Advice = &work.Advice{Decide: 200 * time.Millisecond, Valid: time.Second}
+			s.claim()
+			s.run(100 * time.Millisecond)
+			former := s.workers["w00"].worker.Born
+			s.owner.Advise = func(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
+				response := work.AdviceResponse{Valid: time.Second}
+				if s.workers["w00"].worker.Born != former {
+					response.Good = []work.Ticket{{Worker: "w00", Ticket: "ticket"}}
+				}
+				s.after(cost, func() { s.owner.call(func() { done(response, nil) }) })
+			}
+			s.submit("a", newStep(1, 500*time.Millisecond))
+			s.after(restartAt-s.now, func() { s.workers["w00"].crash(10 * time.Millisecond) })
+			s.run(15 * time.Second)
+			s.assertState("a", work.StateCompleted)
+		})
+	}
+}
+
 // TestLateAdviceIsNotUsed delays an answer until its tickets have expired.
 func TestLateAdviceIsNotUsed(t *testing.T) {
 	s := newSim(t, 1, 4)
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -159,6 +159,8 @@
 	n.clock, n.clockReadAt = 0, 0
 	n.lastEndProcessed, n.unackedEnds = 0, nil
 	n.consecutiveFailures, n.probation, n.cooldownUntil = 0, false, 0
+	n.runTimeRatio, n.slowUntil = runningMean{}, 0
+	o.forgetAdvice(n.worker.ID)
 	n.nextRenewal = now
 	for _, r := range n.runs {
 		if r.state != runPlanned {
