fix: wait for a lease after a former owner that this process has not heard

Cause: a new owner waited for the lease of workers without a list entry only if it had seen the store fail itself. A process that has just started has seen nothing.

Change: only a proof of the former owner that all its starts are recorded shortens the wait. The memory of outages is gone, and so is its constant of 10 s, which was less than a lease of 10 s with its margins. A worker at another address counts as in the directory once that is stored.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -290,7 +290,7 @@
 func (s *sim) randomFault() {
 	w := s.workers[fmt.Sprintf("w%02d", s.rng.IntN(len(s.workers)))]
 	d := time.Duration(s.rng.Int64N(int64(8 * time.Second)))
-	switch s.rng.IntN(11) {
+	switch s.rng.IntN(12) {
 	case 0:
 		s.owner.kill()
 		s.after(d/4, s.claimWhenUp)
@@ -330,6 +330,8 @@
 	case 10:
 		labels := []string{[]string{usualLabel, "other"}[s.rng.IntN(2)]}
 		w.restartUnseen(100*time.Millisecond+d/10, d/4, labels...)
+	case 11:
+		s.loseAllProcesses(w, d/2)
 	case 6:
 		// A claim while the former owner is still active.
 		s.claimWhenUp()
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -386,13 +386,6 @@
 	})
 }
 
-const (
-	// storeFailureMemory is how long after a store failure a new owner assumes that
-	// its predecessor may have started work without a record: the longest lease of
-	// such work.
-	storeFailureMemory = 10 * time.Second
-)
-
 // StoredJob is the stored data of one job.
 type StoredJob struct {
 	Job       *work.Job
@@ -416,9 +409,7 @@
 func (o *Owner) Restore(stored []StoredJob) {
 	now := o.Now()
 	o.startedAt = now
-	unknown := o.Predecessor == PredecessorUnknown
-	o.mayHaveUnrecorded = o.Predecessor == PredecessorUnrecorded || unknown && o.StoreFailedRecently()
-	if o.mayHaveUnrecorded || unknown && o.SinceStoreFailure() < storeFailureMemory {
+	if o.Predecessor != PredecessorRecorded {
 		o.resolveUntil = now + o.takeoverSpan()
 	}
 	if o.PredecessorAlive {
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -52,7 +52,7 @@
 	}
 	for i := range list {
 		if n := o.nodes[list[i].ID]; n != nil {
-			n.inDirectory, n.savedDirectory = true, true
+			n.inDirectory, n.savedDirectory = list[i].Address == n.worker.Address, true
 		}
 	}
 }
@@ -70,18 +70,7 @@
 // mayRunUnknown reports whether the worker may have runs of a former owner that are
 // not recorded by this owner.
 func (o *Owner) mayRunUnknown(n *node, now time.Duration) bool {
-	return n.fromPredecessor && !n.resolved && now-o.startedAt < o.resolveTimeout(n)
-}
-
-// resolveTimeout is how long starts wait for a worker of the former owner that does
-// not respond. If nothing points to starts without a record, a worker whose list entry
-// has expired either has terminated or is listed again within the grace period. Later
-// store failures concern only work of this owner.
-func (o *Owner) resolveTimeout(n *node) time.Duration {
-	if o.mayHaveUnrecorded || n.listed {
-		return max(o.resolveUntil-o.startedAt, o.Bounds.StoreGrace)
-	}
-	return o.Bounds.StoreGrace
+	return n.fromPredecessor && !n.resolved && now-o.startedAt < max(o.resolveUntil-o.startedAt, o.Bounds.StoreGrace)
 }
 
 // SetWorkers applies the worker list. The reading of the list began at the local time
@@ -118,10 +107,13 @@
 		n.nextRenewal = now
 		o.passDue = true
 	}
+	addressChanged := n.worker.Address != "" && n.worker.Address != w.Address
 	if w.Born != n.worker.Born {
 		n.bornListedAt = o.workersListedAt
 	}
-	addressChanged := n.worker.Address != "" && n.worker.Address != w.Address
+	if addressChanged {
+		n.inDirectory = false // a successor would query the former address
+	}
 	n.worker = w
 	n.listed = true
 	if w.Draining {
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -69,13 +69,9 @@
 	Tables func() *work.Tables
 	// StoreUp reports whether the last call to the store was answered.
 	StoreUp func() bool
-	// SinceStoreFailure returns the time since the store last failed to answer, or since
-	// this process started if that is shorter: it has no record of earlier failures.
+	// SinceStoreFailure returns the time since the store last failed to answer this process, or
+	// since the process started if that is shorter. It proves nothing about a former owner.
 	SinceStoreFailure func() time.Duration
-	// StoreFailedRecently reports whether this process itself observed a store
-	// failure within the longest lease. The predecessor may then have started work
-	// without a record.
-	StoreFailedRecently func() bool
 	// Predecessor is what is known of the starts of the former owner. Set it before Restore.
 	Predecessor Predecessor
 	// PredecessorAlive means that a former owner may still act. Set it before Restore.
@@ -129,7 +125,6 @@
 	startsRecorded       bool          // no former owner starts anything without a record until then
 	passiveUntil         time.Duration // until when this owner starts nothing and extends no leases
 	resolveUntil         time.Duration // until when starts wait for workers that have not responded
-	mayHaveUnrecorded    bool          // the former owner may have started work without a record
 	dirty                map[*job]bool
 	unrecorded           map[*job]int64 // jobs with runs that no record has; version that will have them
 	suspendUnrecorded    bool           // nothing may be started without a record
--- a/internal/cell/predecessor.go
+++ b/internal/cell/predecessor.go
@@ -12,7 +12,8 @@
 
 const (
 	// PredecessorUnknown means that this process has just started and has never heard from
-	// the former owner. Whether the store failed recently decides how long starts wait.
+	// the former owner, which may have started work without a record: what this process has
+	// seen of the store itself proves nothing about the time before.
 	PredecessorUnknown Predecessor = iota
 	// PredecessorRecorded means that all its starts are in the records.
 	PredecessorRecorded
@@ -53,7 +54,7 @@
 
 // awaitPredecessor begins a takeover from an owner that may be alive.
 func (o *Owner) awaitPredecessor(now time.Duration) {
-	o.unestablished, o.mayHaveUnrecorded = true, true
+	o.unestablished = true
 	o.resolveUntil = now + maxPassive + o.takeoverSpan()
 }
 
@@ -101,7 +102,7 @@
 	o.soleFrom = now + confirmationValidity + leaseMargin
 	o.startsRecorded = o.Predecessor == PredecessorRecorded || o.PredecessorRecordedUntil >= o.soleFrom
 	if o.startsRecorded {
-		o.mayHaveUnrecorded, o.resolveUntil = false, 0
+		o.resolveUntil = 0
 	} else {
 		o.passiveUntil = o.soleFrom
 		o.resolveUntil = now + o.takeoverSpan()
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -209,11 +209,10 @@
 	o.Tables = func() *work.Tables { return s.tables }
 	o.StoreUp = func() bool { return !s.store.down && !o.cut }
 	processStart := -time.Hour
-	if s.freshProcess && s.now-s.store.lastFailure >= storeFailureMemory {
+	if s.freshProcess {
 		processStart = s.now
 	}
 	o.SinceStoreFailure = func() time.Duration { return s.now - max(s.store.lastFailure, processStart) }
-	o.StoreFailedRecently = func() bool { return s.now-s.store.lastFailure < storeFailureMemory }
 	o.Bounds.StoreGrace = 2500 * time.Millisecond
 	o.AdviserFree = func(time.Duration) bool { return s.adviser.free(s.now) }
 	o.OnOwnershipLost = func(reason string) { s.tracef("epoch %d lost ownership: %s", o.Epoch, reason) }
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -29,6 +29,7 @@
 	drainingAt   time.Duration // when it began to drain
 	staleEntry   *work.Worker  // entry in the store while it is not that of this incarnation
 	replaced     bool          // another worker responds at its address
+	gone         bool          // its process has ended for good
 	fails        bool          // every run fails
 	stalls       bool          // no run makes progress
 	slowdown     float64       // factor on run times; 0 means 1
@@ -266,6 +267,9 @@
 
 // crash ends an incarnation of the worker; the next one starts under the same ID after d.
 func (w *simWorker) crash(d time.Duration) {
+	if w.gone {
+		return
+	}
 	w.sim.tracef("%s crashes for %s", w.worker.ID, d)
 	w.down = true
 	w.runs, w.highestEnded, w.ends, w.waiters = map[string]*simRun{}, map[string]int64{}, nil, nil
@@ -298,7 +302,7 @@
 // replace ends the worker; another one is at its address after d.
 func (w *simWorker) replace(d time.Duration) {
 	w.sim.tracef("%s is replaced within %s", w.worker.ID, d)
-	w.down = true
+	w.down, w.gone = true, true
 	w.worker.Born++
 	w.runs, w.highestEnded, w.ends, w.waiters = map[string]*simRun{}, map[string]int64{}, nil, nil
 	w.sim.after(d, func() { w.replaced, w.down = true, false })
--- a/internal/cell/takeover_test.go
+++ b/internal/cell/takeover_test.go
@@ -62,6 +62,87 @@
 	}
 }
 
+// TestAllProcessesLostInOutage guards against tasks that run twice: all processes are lost
+// during an outage of the store in which tasks start without a record, and come back after it.
+// A worker that is cut off keeps its runs for a lease, and its entry expires at some time.
+func TestAllProcessesLostInOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		expires time.Duration // from the beginning of the cut on
+		lostFor time.Duration
+	}{
+		{"the entry has expired before", 0, 2300 * time.Millisecond},
+		{"the entry expires after the takeover", 3 * time.Second, 2300 * time.Millisecond},
+		{"the processes are back at once", 0, 300 * time.Millisecond},
+		{"the processes are back after half a lease", 2 * time.Second, 3 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newSim(t, 1, 4)
+			s.claim()
+			s.run(time.Second)
+			first, second := newStep(4, time.Second), newStep(12, 8*time.Second)
+			second.After = []int{0}
+			s.submit("a", first, second)
+			s.run(1300 * time.Millisecond)
+			s.store.down = true
+			s.run(3700 * time.Millisecond)
+			s.owner.kill()
+			w := s.workers["w02"]
+			assert.Assert(t, len(w.runs) > 0, "tasks run without a record")
+			w.disconnect(20 * time.Second)
+			s.after(tc.expires, func() { w.unlisted = true })
+			s.after(20*time.Second, func() { w.unlisted = false })
+			s.run(s.now + tc.lostFor)
+			s.store.lastFailure = s.now
+			s.store.down = false
+			s.freshProcess = true
+			s.claim()
+			s.submit("b", newStep(1, time.Second))
+			assert.Assert(t, s.startsWithin("b", time.Second), "later work does not wait")
+			s.run(60 * time.Second)
+			s.assertState("a", work.StateCompleted)
+		})
+	}
+}
+
+// TestChangedAddressIsStoredFirst guards against starts without a record on a worker that a
+// successor could not find: the directory in the store has its former address.
+func TestChangedAddressIsStoredFirst(t *testing.T) {
+	s := newSim(t, 1, 1)
+	s.claim()
+	s.run(time.Second)
+	n := s.owner.nodes["w00"]
+	assert.Assert(t, n.inDirectory)
+	former, ok := s.owner.WorkerDirectory()
+	assert.Assert(t, ok)
+	w := s.workers["w00"].worker
+	w.Address, w.Born = "elsewhere", w.Born+1
+	s.owner.SetWorkers([]work.Worker{w}, s.now)
+	assert.Assert(t, !n.inDirectory)
+	s.owner.WorkerDirectoryStored(former)
+	assert.Assert(t, !n.inDirectory, "a write that was sent before")
+	s.owner.WorkerDirectoryStored([]work.Worker{w})
+	assert.Assert(t, n.inDirectory)
+}
+
+// loseAllProcesses ends all processes during an outage of the store of the given length, while
+// a worker is cut off and its entry expires. A process that has just started claims the cell.
+func (s *sim) loseAllProcesses(w *simWorker, outage time.Duration) {
+	s.tracef("store down for %s, all processes are lost in it", outage)
+	s.store.down = true
+	s.after(outage*3/4, func() {
+		s.owner.kill()
+		w.disconnect(8 * time.Second)
+		w.unlisted = true
+		s.after(8*time.Second, func() { w.unlisted = w.replaced })
+	})
+	s.after(outage, func() {
+		s.store.down, s.store.lastFailure = false, s.now
+		s.freshProcess = true
+		s.claim()
+	})
+}
+
 // startsWithin runs until a task of the job has started, for at most d.
 func (s *sim) startsWithin(job string, d time.Duration) bool {
 	for end := s.now + d; s.now < end; s.run(s.now + 10*time.Millisecond) {
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -21,7 +21,6 @@
 	o.Now, o.WallClock = bootClock, wallClock
 	o.Tables = h.Tables
 	o.StoreUp, o.SinceStoreFailure = h.storeUp, h.sinceStoreFailure
-	o.StoreFailedRecently = func() bool { return time.Since(h.store.LastFailure()) < storeFailureMemory }
 	owned := time.Now()
 	o.AdviserFree = func(cost time.Duration) bool {
 		hosts := h.adviserHosts()
@@ -49,11 +48,6 @@
 	return o
 }
 
-// storeFailureMemory is the time after a store failure during which this host
-// assumes that the former owner may have started runs without saving them. It
-// equals the longest lease of a run.
-const storeFailureMemory = 10 * time.Second
-
 const (
 	// adviceTimeout bounds a query to the adviser, including the time it waits
 	// behind other queries.
--- a/internal/host/predecessor.go
+++ b/internal/host/predecessor.go
@@ -133,6 +133,10 @@
 	}
 }
 
+// freshProcessAge is the age up to which a process that has not heard from the owner counts
+// as just started. An older one would have heard from an owner that was reachable.
+const freshProcessAge = 10 * time.Second
+
 // predecessor is what a host knows of the owner that it replaces.
 type predecessor struct {
 	starts cell.Predecessor
@@ -149,7 +153,7 @@
 		return predecessor{starts: cell.PredecessorUnknown}
 	case suspected && h.ownerSuspicion.recorded:
 		return predecessor{cell.PredecessorRecorded, !h.ownerRecord.sole}
-	case owner.Instance != h.instance && !heard && time.Since(h.started) < storeFailureMemory:
+	case owner.Instance != h.instance && !heard && time.Since(h.started) < freshProcessAge:
 		return predecessor{cell.PredecessorUnknown, !terminated}
 	}
 	return predecessor{cell.PredecessorUnrecorded, !terminated || !heard || !h.ownerRecord.sole}
