fix: count a worker for the majority until the store has a directory without it

Cause: an owner that is cut off with half of the workers of the stored directory forgot one of the others, whose entry had expired, and took its half for a majority. Its successor had fenced the other half, so both acted.

Change: a worker is forgotten only once it is in neither of the last two directories.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -223,7 +223,8 @@
 	o.establish(now)
 	for _, n := range slices.Clone(o.sortedNodes) {
 		o.scanNode(n, now)
-		if !n.listed && len(n.runs) == 0 && !n.renewing && now > n.leaseExpiry && now > o.resolveUntil {
+		counted := n.lastDirectory || n.savedDirectory // for the majority
+		if !n.listed && !counted && len(n.runs) == 0 && !n.renewing && now > n.leaseExpiry && now > o.resolveUntil {
 			o.removeNode(n)
 		}
 	}
--- a/internal/cell/split_test.go
+++ b/internal/cell/split_test.go
@@ -93,6 +93,27 @@
 	}
 }
 
+// TestForgottenWorkerCountsForTheMajority guards against tasks that run twice: an owner that is
+// cut off with half of the workers forgets one of the others, whose entry has expired, and
+// takes its half for a majority. Its successor has fenced the other half of the directory.
+func TestForgottenWorkerCountsForTheMajority(t *testing.T) {
+	s := newSim(t, 1, 6)
+	s.connected = true
+	s.claim()
+	s.submit("a", newStep(96, 5*time.Second))
+	s.run(time.Second)
+	s.workers["w05"].disconnect(3 * time.Second)
+	s.workers["w05"].unlisted = true
+	s.owner.kill()
+	s.claim()
+	s.run(1600 * time.Millisecond)
+	assert.Equal(t, len(s.directory), 6)
+	s.split(func(id string) bool { return id < "w03" }, 1300*time.Millisecond, 25*time.Second)
+	s.after(10*time.Second, func() { s.owner.freeze(12 * time.Second) })
+	s.run(120 * time.Second)
+	s.assertState("a", work.StateCompleted)
+}
+
 // TestIsolatedMajorityStops guards against work that waits for ever: an owner with most of
 // the workers never returns. It stops, and its successor goes on with the others.
 func TestIsolatedMajorityStops(t *testing.T) {
