fix: end the probation of a worker by time, and blame no worker for a task that fails everywhere

Cause: a worker on probation got a run only while it had none, and only a run that is done ended the probation. Failures of one task on several workers counted against all of them.

Change: quarantine and probation end after a time, on probation a new run is observed for a second before the next one, and what no other worker can run is tried on a quarantined one after 4 s. A task that has failed on two workers blames neither.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		free := o.freeFor(s, n, now).Sub(n.promised)
-		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.policy.Advice.Decide)), int64(n.maxTasks(s))), 0)
+		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.policy.Advice.Decide)), int64(n.maxTasks(s, now))), 0)
 		if fits > 0 || !known {
 			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free})
 		}
--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -107,7 +107,7 @@
 			s.claim()
 			s.run(100 * time.Millisecond)
 			former := s.workers["w00"].worker.Born
-			s.owner.Advise = func(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
+			s.owner.Advise = func(_ work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
 				response := work.AdviceResponse{Valid: time.Second}
 				if s.workers["w00"].worker.Born != former {
 					response.Good = []work.Ticket{{Worker: "w00", Ticket: "ticket"}}
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -47,7 +47,8 @@
 	return reason
 }
 
-// candidates returns the workers that may run the step's tasks.
+// candidates returns the workers that may run the step's tasks. Quarantined workers are among
+// them only if there is no other one.
 func (o *Owner) candidates(s *step, p *pool, now time.Duration) (candidates []sched.Candidate, usable []*node) {
 	nodes := p.nodes
 	if s.job.policy.Advice != nil {
@@ -55,11 +56,15 @@
 		nodes = o.ticketHolders(s, p, now)
 	}
 	o.Counters.CandidatesChecked += int64(len(nodes))
+	eligible := func(n *node) bool { return o.mayRun(s, n) }
+	if len(p.quarantined) > 0 && s.job.policy.Advice == nil && !slices.ContainsFunc(nodes, eligible) {
+		nodes = p.quarantined
+	}
 	for _, n := range nodes {
-		if !o.mayRun(s, n) {
+		if !eligible(n) {
 			continue
 		}
-		candidate := sched.Candidate{Free: o.freeFor(s, n, now), Rack: n.worker.Rack, MaxTasks: n.maxTasks(s), Penalty: o.penalty(s, n, now)}
+		candidate := sched.Candidate{Free: o.freeFor(s, n, now), Rack: n.worker.Rack, MaxTasks: n.maxTasks(s, now), Penalty: o.penalty(s, n, now)}
 		candidates = append(candidates, candidate)
 		usable = append(usable, n)
 	}
@@ -109,18 +114,15 @@
 
 func (n *node) free() resource.Vector { return n.worker.Capacity.Sub(n.used) }
 
-// maxTasks returns how many more tasks of the step the worker may take. A worker on
-// probation runs one task at a time.
-func (n *node) maxTasks(s *step) int {
-	const unbounded = 1 << 20
-	if n.probation && len(n.runs) > 0 {
-		return 0
-	}
-	if n.probation {
-		return 1
+// maxTasks returns how many more tasks of the step the worker may take. A worker in
+// quarantine or on probation gets one run at a time.
+func (n *node) maxTasks(s *step, now time.Duration) int {
+	allowed := 1 << 20 // unbounded
+	if n.health.onProbation(now) {
+		allowed = n.trialsAllowed(now)
 	}
 	if s.spec.MaxPerWorker == 0 {
-		return unbounded
+		return allowed
 	}
 	here := 0
 	for _, r := range n.runs {
@@ -128,7 +130,7 @@
 			here++
 		}
 	}
-	return s.spec.MaxPerWorker - here
+	return min(s.spec.MaxPerWorker-here, allowed)
 }
 
 // assignEach starts as many tasks of the group as fit, and returns why the others
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -246,6 +246,13 @@
 		}
 		s.after(time.Duration(s.rng.Int64N(int64(length))), func() { s.submit(fmt.Sprintf("j%d", i), first, second) })
 	}
+	lasting, failing := newLastingStep(len(s.workers)), newStep(1, time.Second)
+	failing.LongRunning = true
+	if s.rng.IntN(2) == 0 {
+		s.submit("lasting", lasting)
+		s.submit("failing", failing)
+		s.jobs["failing"].spec.Payload = "fails"
+	}
 	for range 10 {
 		s.after(time.Duration(s.rng.Int64N(int64(length))), s.randomFault)
 	}
@@ -258,7 +265,12 @@
 	s.entriesExpired = false
 	s.loseResponse, s.delayRequest, s.store.loseWriteResponse = 0, 0, 0
 	s.run(length + 45*time.Second)
+	s.submit("last", newStep(1, time.Second))
+	s.run(s.now + 5*time.Second)
 	for id := range s.jobs {
+		if id == "lasting" || id == "failing" {
+			continue
+		}
 		if state, _, ok := s.owner.State(id); !ok || !state.Terminal() {
 			j := s.owner.jobs[id]
 			for _, t := range j.tasks {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -77,7 +77,9 @@
 	restarts       int           // times that a slow run was restarted elsewhere
 	copyWanted     bool          // a speculative copy is requested
 	lastDetachedAt time.Duration
-	preemptions    int // times that a run was stopped for work of a higher priority
+	preemptions    int   // times that a run was stopped for work of a higher priority
+	failedOn       *node // worker on which it has failed; nil: none
+	atFault        bool  // it has failed on two workers
 }
 
 func (t *task) ref() work.TaskRef {
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -150,7 +150,7 @@
 	n.fenceSeq++
 	n.clock, n.clockReadAt = 0, 0
 	n.lastEndProcessed, n.unackedEnds = 0, nil
-	n.consecutiveFailures, n.probation, n.cooldownUntil = 0, false, 0
+	n.health, n.cooldownUntil = health{}, 0
 	n.runTimeRatio, n.slowUntil = runningMean{}, 0
 	o.forgetAdvice(n.worker.ID)
 	n.nextRenewal = now
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -51,14 +51,13 @@
 	lastEndProcessed int64 // sequence number of the last processed end
 	unackedEnds      []pendingEnd
 
-	runTimeRatio        runningMean   // run times on this worker relative to other workers
-	ratioUpdatedAt      time.Duration // when runTimeRatio was last updated
-	slowBy              float64       // slowdown beyond 1 that stragglers indicated
-	slowUntil           time.Duration // until when slowBy applies
-	lastOnTimeEnd       time.Duration // when a run last ended within the usual time
-	consecutiveFailures int           // failed runs in a row
-	cooldownUntil       time.Duration
-	probation           bool // the next run decides whether the quarantine ends
+	runTimeRatio   runningMean   // run times on this worker relative to other workers
+	ratioUpdatedAt time.Duration // when runTimeRatio was last updated
+	slowBy         float64       // slowdown beyond 1 that stragglers indicated
+	slowUntil      time.Duration // until when slowBy applies
+	lastOnTimeEnd  time.Duration // when a run last ended within the usual time
+	cooldownUntil  time.Duration
+	health         health
 }
 
 // pendingEnd is an end that may be acknowledged once its record is saved.
@@ -99,13 +98,6 @@
 	// unresponsiveMisses is the number of consecutive missed renewals from which a
 	// worker counts as unresponsive.
 	unresponsiveMisses = 2
-	// quarantineFailures is the number of consecutive failed runs, of any tasks, after
-	// which a worker is quarantined.
-	quarantineFailures = 3
-	// quarantineCooldown is how long a quarantined worker gets no work.
-	quarantineCooldown = 8 * time.Second
-	// failureCooldown is how long a worker gets no work after a single failure.
-	failureCooldown = 200 * time.Millisecond
 )
 
 // node returns the worker called id. An unknown worker is added.
@@ -158,7 +150,15 @@
 }
 
 // usable reports whether the worker may be given work.
-func (n *node) usable(now time.Duration) bool {
+func (n *node) usable(now time.Duration) bool { return n.available(now) && !n.health.quarantined(now) }
+
+// startable reports whether a run that was assigned to the worker may be started there.
+func (n *node) startable(now time.Duration) bool {
+	return n.available(now) && (!n.health.quarantined(now) || n.health.trialDue(now))
+}
+
+// available reports whether the worker could be given work, unless it is quarantined.
+func (n *node) available(now time.Duration) bool {
 	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && now >= n.cooldownUntil
 }
 
@@ -199,24 +199,6 @@
 	n.leaseExpiry = max(n.leaseExpiry, now+time.Duration(float64(d)*clockDrift)+leaseMargin)
 }
 
-// recordFailure counts a failed run on the worker, which then gets no work for
-// failureCooldown. After quarantineFailures in a row, or after a failure on
-// probation, it is quarantined for quarantineCooldown and on probation afterwards.
-func (n *node) recordFailure(now time.Duration) {
-	n.consecutiveFailures++
-	n.cooldownUntil = max(n.cooldownUntil, now+failureCooldown)
-	if n.consecutiveFailures >= quarantineFailures || n.probation {
-		n.cooldownUntil = now + quarantineCooldown
-		n.probation = true
-	}
-}
-
-// recordSuccess resets the count of failures in a row and ends a probation.
-func (n *node) recordSuccess() {
-	n.consecutiveFailures = 0
-	n.probation = false
-}
-
 // scanNodes performs the actions that are due for each worker.
 func (o *Owner) scanNodes(now time.Duration) {
 	o.majority = o.majorityConfirmed(now)
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -113,7 +113,7 @@
 		if len(nodes) >= maxReservable {
 			break
 		}
-		if !o.mayRun(s, n) || n.maxTasks(s) <= 0 {
+		if !o.mayRun(s, n) || n.maxTasks(s, now) <= 0 {
 			continue
 		}
 		if slices.ContainsFunc(n.reservations, func(r *reservation) bool { return sched.Compare(r.step.rank, s.rank) < 0 }) {
@@ -121,7 +121,7 @@
 		}
 		o.Counters.CandidatesChecked++
 		nodes = append(nodes, n)
-		workers = append(workers, sched.BusyWorker{Free: n.free(), Releases: o.releases(s, n, now), MaxTasks: n.maxTasks(s)})
+		workers = append(workers, sched.BusyWorker{Free: n.free(), Releases: o.releases(s, n, now), MaxTasks: n.maxTasks(s, now)})
 	}
 	return nodes, workers
 }
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -171,7 +171,7 @@
 	sendable := func(r *run) bool {
 		// A successor has to find the run, through the worker directory or the record.
 		known := r.node.inDirectory || r.version <= r.task.step.job.savedVersion
-		return known && !r.stopping && r.node.usable(now) && r.incarnation == r.node.incarnation
+		return known && !r.stopping && r.node.startable(now) && r.incarnation == r.node.incarnation
 	}
 	if !o.listIsFresh(now) {
 		// The record took so long that workers may have started to drain.
@@ -386,7 +386,7 @@
 		o.handleRunDone(n, t, r)
 	case work.EndFailed:
 		o.Counters.RunsFailed++
-		n.recordFailure(o.Now())
+		o.recordWorkerFailure(n, t)
 		o.recordTaskFailure(t, end.Run, n.worker.ID)
 	default:
 		o.Counters.RunsEndedOtherwise++
@@ -400,7 +400,7 @@
 // handleRunDone completes a task and stops its speculative copies. The
 // success of one member of a gang completes all of them.
 func (o *Owner) handleRunDone(n *node, t *task, r *run) {
-	n.recordSuccess()
+	n.health.clear()
 	if r != nil && r.fromStart && r.liveSince > 0 {
 		o.recordRunTime(r, o.Now()-r.liveSince)
 	}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -22,10 +22,12 @@
 type pool struct {
 	nodes   []*node
 	notFull []*node // with some processor time and memory free at the start of the pass
-	free    resource.Vector
-	total   resource.Vector
-	maxFree resource.Vector // largest free capacity of any worker, per resource
-	urgent  bool            // a queue of the highest priority uses the pool
+	// quarantined holds quarantined workers that may be given what no other one can run.
+	quarantined []*node
+	free        resource.Vector
+	total       resource.Vector
+	maxFree     resource.Vector // largest free capacity of any worker, per resource
+	urgent      bool            // a queue of the highest priority uses the pool
 }
 
 // mayFit reports whether some worker may have free capacity for demand. It keeps
@@ -182,7 +184,7 @@
 func (o *Owner) usablePools(now time.Duration) (pools map[string]*pool) {
 	pools = map[string]*pool{}
 	for _, n := range o.sortedNodes {
-		if !n.usable(now) || !n.inDirectory && !o.StoreUp() {
+		if !n.startable(now) || !n.inDirectory && !o.StoreUp() {
 			continue
 		}
 		p := pools[n.worker.Pool]
@@ -190,10 +192,14 @@
 			p = &pool{}
 			pools[n.worker.Pool] = p
 		}
-		p.nodes = append(p.nodes, n)
 		free := n.free()
-		p.free = p.free.Add(free)
 		p.maxFree = p.maxFree.Max(free)
+		if n.health.quarantined(now) {
+			p.quarantined = append(p.quarantined, n)
+			continue
+		}
+		p.nodes = append(p.nodes, n)
+		p.free = p.free.Add(free)
 		if free.MilliCores > 0 && free.MemoryMB > 0 {
 			p.notFull = append(p.notFull, n)
 		}
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -152,7 +152,7 @@
 	r.task.restarts++
 	if speed.Stalled() {
 		// Equivalent to a failure: no run will end there to indicate it.
-		r.node.recordFailure(now)
+		o.recordWorkerFailure(r.node, r.task)
 	}
 	event.CellStraggler.Log(o.Log).Str("task", r.task.ref().String()).Int64("run", r.number).Str("worker", r.node.worker.ID).
 		Int("percent", r.percent).Dur("window", speed.Window).Float64("slowness", speed.Slowness()).
@@ -175,7 +175,7 @@
 	return slices.ContainsFunc(o.sortedNodes, func(n *node) bool {
 		good, known := s.advice.allowed[n.worker.ID]
 		return n != r.node && n.usable(now) && n.worker.Pool == s.job.policy.Service && (good || !known) &&
-			o.mayRun(s, n) && n.maxTasks(s) > 0 && o.slownessPenalty(n, now) == 0 && n.free().Fits(demand)
+			o.mayRun(s, n) && n.maxTasks(s, now) > 0 && o.slownessPenalty(n, now) == 0 && n.free().Fits(demand)
 	})
 }
 
