fix: derive from the expected progress after which time a run counts as stalled

Cause: a run without a gain in 0.7 s counted as stalled, but progress comes in whole percent.

Change: the time follows from the run's own progress, its siblings or its estimate, and doubles from the second stall of a task on, as all of these may be wrong. A run of a former owner may stand still for the age of its step. Speed is compared at the resolution of the progress, and the end of a run beyond its estimate is predicted from its progress.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -75,6 +75,7 @@
 	runTime        time.Duration // of the run that was done, if it did the whole work
 	doneOn         string        // worker of that run
 	restarts       int           // times that a slow run was restarted elsewhere
+	stalls         int           // times that one of them made no progress
 	copyWanted     bool          // a speculative copy is requested
 	lastDetachedAt time.Duration
 	preemptions    int   // times that a run was stopped for work of a higher priority
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -156,7 +156,12 @@
 		total := (r.resolvedAt - r.firstAt) * percentTotal / time.Duration(gained)
 		return max(r.resolvedAt+total*time.Duration(percentTotal-r.percent)/percentTotal, now), true
 	}
-	return max(since+o.expectedRunTime(r.task.step), now+minRemaining), true
+	end = since + o.expectedRunTime(r.task.step)
+	if end < now && r.fromStart {
+		// The estimate was too low. Less than percent+1 of the work is done.
+		end = since + (r.resolvedAt-since)*percentTotal/time.Duration(r.percent+1)
+	}
+	return max(end, now+minRemaining), true
 }
 
 // expectedRunTime returns the estimated run time of a task, corrected by the usual error
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -153,6 +153,9 @@
 	w.runs[name] = r
 	incarnation := w.worker.Born
 	runTime := time.Duration(float64(step.Estimate) * (0.5 + s.rng.Float64()))
+	if d, err := time.ParseDuration(job.spec.Payload); err == nil {
+		runTime = d // whatever the estimate is
+	}
 	reason := work.EndDone
 	if w.slowdown > 0 {
 		runTime = time.Duration(float64(runTime) * w.slowdown)
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -119,6 +120,26 @@
 	}
 }
 
+// expectedStep returns the time that the run is expected to need for one percent of its work:
+// by its own progress, or else by sibling tasks or the estimate, which may be wrong.
+func (o *Owner) expectedStep(r *run, sibling, now time.Duration) time.Duration {
+	gained := r.baselinePercent - r.firstPercent
+	if gained > 1 || gained == 1 && r.fromStart {
+		return (r.baselineAt - r.firstAt) / time.Duration(gained)
+	}
+	expected := cmp.Or(sibling, o.expectedRunTime(r.task.step)) / percentTotal
+	if r.fromStart || r.percent == 0 {
+		return expected
+	}
+	// A run of a former owner has taken at most the age of its step. A restart would cost
+	// as much.
+	age := max(o.WallClock()-r.task.step.runnableSince(), 0)
+	return max(expected, age/time.Duration(max(r.percent, minSteps)))
+}
+
+// minSteps is the percentage below which the age of a run says little about its speed.
+const minSteps = 4
+
 // measureRun measures the speed of a run. A straggler is restarted elsewhere, or gets a
 // speculative copy.
 func (o *Owner) measureRun(r *run, now time.Duration) {
@@ -126,6 +147,7 @@
 		Window: now - r.baselineAt, Gained: float64(r.percent-r.baselinePercent) / percentTotal, Remaining: float64(percentTotal-r.percent) / percentTotal,
 		Expected: o.siblingRunTime(r),
 	}
+	speed.StallAfter = sched.StallTime(o.expectedStep(r, speed.Expected, now), r.task.stalls)
 	r.slowness = 0
 	if speed.Expected > 0 && r.task.restarts == 0 {
 		r.slowness = speed.Slowness()
@@ -151,6 +173,7 @@
 	}
 	r.task.restarts++
 	if speed.Stalled() {
+		r.task.stalls++
 		// Equivalent to a failure: no run will end there to indicate it.
 		o.recordWorkerFailure(r.node, r.task)
 	}
--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -14,18 +14,22 @@
 	Remaining      float64       // fraction of the whole work that remains
 	Expected       time.Duration // run time of sibling tasks elsewhere; 0 if unknown
 	WorkerSlowness float64       // factor by which runs on the worker take longer than elsewhere
+	StallAfter     time.Duration // time without progress after which the run counts as stalled; see StallTime
 }
 
 const (
 	// minSlowness is the slowness from which a run is a straggler. Below it, a restart
 	// costs more than it saves.
 	minSlowness = 2
-	// minGain is half the resolution of the percentage that a worker reports: a run
-	// with a smaller gain made no observable progress.
-	minGain = 0.005
-	// stallWindow is how long a run without any gain is observed before it counts as
-	// stalled: 1 % per 0.7 s amounts to more than a minute in total.
-	stallWindow = 700 * time.Millisecond
+	// resolution is that of the percentage that a worker reports. A run without an observed
+	// gain may have done almost as much.
+	resolution = 0.01
+	// minStallTime is how long a run without any gain is observed at least before it counts
+	// as stalled.
+	minStallTime = 700 * time.Millisecond
+	// stallSteps is the number of steps of the reported percentage for whose expected time
+	// a run may stand still.
+	stallSteps = 4
 	// minSpeedup is the factor by which the time left of the present run must exceed the
 	// time that a new run takes, including the delay of its start.
 	minSpeedup = 1.25
@@ -38,16 +42,32 @@
 	switch {
 	case s.Window <= 0:
 		return 1
-	case s.Expected > 0:
-		return float64(s.Window) / float64(s.Expected) / max(s.Gained, minGain)
 	case s.Stalled():
-		return float64(s.Window) / float64(stallWindow) / minGain
+		return float64(s.Window) / float64(max(s.StallAfter, minStallTime)) / resolution
+	case s.Expected > 0:
+		return float64(s.Window) / float64(s.Expected) / max(s.Gained, resolution)
 	}
 	return max(s.WorkerSlowness, 1)
 }
 
 // Stalled reports whether the run makes no progress.
-func (s Speed) Stalled() bool { return s.Gained < minGain && s.Window >= stallWindow }
+func (s Speed) Stalled() bool {
+	return s.Gained < resolution && s.Window >= max(s.StallAfter, minStallTime)
+}
+
+// StallTime returns how long a run that needs the given time for one step of the reported
+// percentage may stand still. It doubles with each repeated stall of the task, because the
+// expectation may be wrong: a task that has stalled on several workers is rather a long one.
+func StallTime(perStep time.Duration, stalls int) time.Duration {
+	d := max(stallSteps*perStep, minStallTime)
+	for range min(max(stalls-1, 0), maxStallDoublings) {
+		d *= 2
+	}
+	return d
+}
+
+// maxStallDoublings bounds StallTime. A task whose steps take longer would run for months.
+const maxStallDoublings = 16
 
 // IsStraggler reports whether a new run elsewhere would end significantly sooner. The
 // new run can start after restartDelay and has to do restartFraction of the work. A
@@ -61,7 +81,7 @@
 	if slowness < minSlowness {
 		return false
 	}
-	total := float64(s.Window) / max(s.Gained, minGain)
+	total := float64(s.Window) / max(s.Gained, resolution)
 	return s.Remaining*total > minSpeedup*(float64(restartDelay)+restartFraction*total/slowness)
 }
 
