--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -122,7 +122,7 @@
 
 // expectedStep returns the time that the run is expected to need for one percent of its work:
 // by its own progress, or else by sibling tasks or the estimate, which may be wrong.
-func (o *Owner) expectedStep(r *run, sibling, now time.Duration) time.Duration {
+func (o *Owner) expectedStep(r *run, sibling time.Duration) time.Duration {
 	gained := r.baselinePercent - r.firstPercent
 	if gained > 1 || gained == 1 && r.fromStart {
 		return (r.baselineAt - r.firstAt) / time.Duration(gained)
@@ -147,7 +147,7 @@
 		Window: now - r.baselineAt, Gained: float64(r.percent-r.baselinePercent) / percentTotal, Remaining: float64(percentTotal-r.percent) / percentTotal,
 		Expected: o.siblingRunTime(r),
 	}
-	speed.StallAfter = sched.StallTime(o.expectedStep(r, speed.Expected, now), r.task.stalls)
+	speed.StallAfter = sched.StallTime(o.expectedStep(r, speed.Expected), r.task.stalls)
 	r.slowness = 0
 	if speed.Expected > 0 && r.task.restarts == 0 {
 		r.slowness = speed.Slowness()
