test: the incarnation of a call and its refusal pass through carriers

Cause: a carrier sends the owner's orders, so it has to bind them to an incarnation as well. Change: the tests of the carrier name an incarnation. Measured: both pass; without the incarnation in the server's call TestErrorsKeepIdentity fails.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -129,9 +129,9 @@
 	return o
 }
 
-// stopRequest returns a request to stop a run on worker w-1.
+// stopRequest returns a request to stop a run on one incarnation of worker w-1.
 func stopRequest() Request {
-	return Request{Worker: "w-1", Timeout: time.Second, Stop: &work.RunRequest{Task: work.TaskRef{Job: "j"}, Run: 1}}
+	return Request{Worker: "w-1", Born: 5, Timeout: time.Second, Stop: &work.RunRequest{Task: work.TaskRef{Job: "j"}, Run: 1}}
 }
 
 // TestErrorsKeepIdentity checks that a refusal by the worker is the same error
@@ -146,12 +146,13 @@
 		{"a higher fencing token", errs.Combine(work.ErrFenced, errs.New("detail")), work.ErrFenced},
 		{"no free capacity", work.ErrNoCapacity, work.ErrNoCapacity},
 		{"another incarnation", work.ErrOtherIncarnation, work.ErrOtherIncarnation},
+		{"started again", work.ErrRestarted, work.ErrRestarted},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			h := newHarness(t)
 			h.serve("c-1", Targets{Stop: func(_ context.Context, w work.Worker, request work.RunRequest) (work.RunResponse, error) {
-				assert.Check(t, w.ID == "w-1" && request.Run == 1)
+				assert.Check(t, w.ID == "w-1" && w.Born == 5 && request.Run == 1)
 				return work.RunResponse{Clock: 7 * time.Second}, test.result
 			}})
 			got := h.send("c-1", stopRequest())
