fix: reserve the workers of a gang from its predicted start on

Cause: each worker was reserved from the time on at which it had the capacity itself.

Change: all reservations of a gang begin at its predicted start, so the workers serve what ends before. Each missed start doubles the time that such tasks are assumed to take. A run that was adopted by this owner is expected to take as long again once it has exceeded its estimate.

TestReservedWorkersServeShortTasks fails before in four of four forms.

--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -247,6 +247,7 @@
 		}
 		return ReasonCapacity
 	}
+	s.predictedStart, s.missedStarts = 0, 0
 	var number int64
 	for _, t := range g.tasks {
 		number = max(number, o.nextRunNumber(t))
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -50,6 +50,8 @@
 	rank           sched.Rank     // in the last scheduling pass
 	reservations   []*reservation // capacity kept for its tasks
 	reservedAt     time.Duration  // when the workers for reservations were last chosen
+	predictedStart time.Duration  // predicted start of a gang with reservations
+	missedStarts   int            // predictions that proved wrong
 	startedAt      time.Duration  // when the first start was sent
 	lastTaskDoneAt time.Duration  // time of day at which a task was last done
 	sweep          int            // last sweep in which the step was checked
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -75,6 +75,9 @@
 		count = min(count, len(nodes))
 	}
 	slots := sched.EarliestSlots(workers, demand, count, now)
+	if s.spec.Gang {
+		s.alignSlots(slots, now)
+	}
 	for _, slot := range slots {
 		o.addReservation(s, nodes[slot.Worker], slot, demand, now)
 	}
@@ -85,6 +88,29 @@
 	}
 }
 
+// alignSlots sets the time of all slots of a gang to that of the last one: the capacity is not
+// needed before. It counts how often the gang could not start at the predicted time.
+func (s *step) alignSlots(slots []sched.Slot, now time.Duration) {
+	var startAt time.Duration
+	for _, slot := range slots {
+		startAt = max(startAt, slot.At)
+	}
+	for i := range slots {
+		slots[i].At = startAt
+	}
+	switch {
+	case s.predictedStart == 0:
+		s.predictedStart = startAt
+	case now > s.predictedStart:
+		s.predictedStart = startAt
+		s.missedStarts = min(s.missedStarts+1, maxMissedStarts)
+	}
+}
+
+// maxMissedStarts bounds the missed starts that are counted. It leaves room for tasks that are
+// short in terms of the time until the capacity is needed.
+const maxMissedStarts = 5
+
 // reservationsDue reports whether all reserved capacity can be free by the given time.
 func (s *step) reservationsDue(by time.Duration) bool {
 	return !slices.ContainsFunc(s.reservations, func(r *reservation) bool { return r.at > by })
@@ -157,9 +183,13 @@
 		return max(r.resolvedAt+total*time.Duration(percentTotal-r.percent)/percentTotal, now), true
 	}
 	end = since + o.expectedRunTime(r.task.step)
-	if end < now && r.fromStart {
+	switch {
+	case end >= now:
+	case r.fromStart:
 		// The estimate was too low. Less than percent+1 of the work is done.
 		end = since + (r.resolvedAt-since)*percentTotal/time.Duration(r.percent+1)
+	default:
+		end = now + (now - since)
 	}
 	return max(end, now+minRemaining), true
 }
@@ -232,9 +262,10 @@
 }
 
 // endsBefore reports whether a task of the step that starts now is expected to end before
-// the reserved capacity is needed.
+// the reserved capacity is needed. Expectations may be wrong, so each predicted start that was
+// missed doubles the time that the task is assumed to take.
 func (o *Owner) endsBefore(s *step, r *reservation, now time.Duration) bool {
-	return !s.spec.LongRunning && now+o.expectedRunTime(s) <= r.at
+	return !s.spec.LongRunning && now+o.expectedRunTime(s)<<r.step.missedStarts <= r.at
 }
 
 // takeSpare counts a run that was assigned to a worker against what its reservations
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -128,7 +128,7 @@
 		return (r.baselineAt - r.firstAt) / time.Duration(gained)
 	}
 	expected := cmp.Or(sibling, o.expectedRunTime(r.task.step)) / percentTotal
-	if r.fromStart || r.percent == 0 {
+	if r.sentAt > 0 || r.percent == 0 {
 		return expected
 	}
 	// A run of a former owner has taken at most the age of its step. A restart would cost
