fix: let no start be executed later than the worker list allows

Cause: work is started by a list of workers of at most 1.6 s, but the start could be executed for 1.5 s after it was sent. A call that is under way for long reached a worker that had been draining for more than two seconds.

Change: the deadline of a start, which the worker enforces, ends 1.9 s after the reading of the list began. While the store is away nobody can announce a drain, and the deadline stays 1.5 s.

Measured: TestDrainingWorkerGetsNoWork with calls of 0.9 s fails before (a start after 2.125 s of draining) and passes now.

--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -56,10 +56,13 @@
 }
 
 const (
-	// startDeadline is how long after it was sent a start may still be executed. The
+	// startDeadline is how long after it was sent a start may be executed at most. The
 	// worker rejects starts that arrive later, so a start without a response can be
 	// resolved soon.
 	startDeadline = 1500 * time.Millisecond
+	// maxDrainingTime is how long after the reading of the worker list a start may be executed
+	// at the latest. A worker must get no work two seconds after it has announced a drain.
+	maxDrainingTime = 1900 * time.Millisecond
 	// stopRetryInterval is the interval between two requests to stop the same run.
 	stopRetryInterval = 400 * time.Millisecond
 	// runsPerEpoch separates the run numbers of successive owners, so that starts
@@ -235,7 +238,7 @@
 	}
 	request := work.StartRequest{
 		Task: r.task.ref(), Run: r.number, Payload: r.task.step.job.spec.Payload,
-		Deadline: n.clockAt(now) + startDeadline, Fence: n.fence(o.Epoch),
+		Deadline: n.clockAt(now) + o.startWindow(now), Fence: n.fence(o.Epoch),
 		Checkpoint: r.task.startCheckpoint(), Ticket: r.ticket,
 	}
 	n.extendLease(now, startDeadline)
@@ -245,6 +248,15 @@
 	o.Start(n.addressee(), request, func(response work.RunResponse, err error) { o.handleStartResponse(r, response, err) })
 }
 
+// startWindow returns how long a start that is sent now may be executed. By then the worker must
+// not have been draining for too long, which the list shows as of the time of its reading.
+func (o *Owner) startWindow(now time.Duration) time.Duration {
+	if !o.StoreUp() {
+		return startDeadline
+	}
+	return min(startDeadline, maxDrainingTime-(now-o.workersListedAt))
+}
+
 // startCheckpoint returns the checkpoint from which a start resumes. All members of
 // a gang must carry the same one.
 func (t *task) startCheckpoint() string {
