fix: give a worker on trial a task that has not failed there first

What callers would see: several lasting tasks that always fail may run on one minion only, which other jobs need as well. They rank first, take each trial of the quarantined minion and fail it, so nothing else runs there any more.

Change: on a quarantined worker or one on probation a task that has failed there waits for a second, in which another one may take the trial. A task that fails again where another run was done meanwhile is at fault itself and blames the worker no more.

Measured: TestFailingTasksLeaveTheOnlyWorker fails before (the first job does not start within 5 s) and passes now; the tests of internal/cell pass.

--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -146,7 +146,7 @@
 		case !p.admits(g, t.demand()):
 			return ReasonReserve
 		}
-		i := o.choose(candidates, usable, t)
+		i := o.choose(candidates, usable, t, now)
 		if i < 0 {
 			break
 		}
@@ -176,7 +176,11 @@
 }
 
 // choose selects a worker for t and, if possible, avoids workers on which it failed.
-func (o *Owner) choose(candidates []sched.Candidate, usable []*node, t *task) int {
+func (o *Owner) choose(candidates []sched.Candidate, usable []*node, t *task, now time.Duration) int {
+	if at := slices.Index(usable, t.failedOn); at >= 0 && t.failedOn.health.onProbation(now) && !t.failedOn.health.retrialDue(now) {
+		candidates = slices.Clone(candidates)
+		candidates[at].MaxTasks = 0
+	}
 	if len(t.avoidedWorkers) > 0 {
 		preferred := slices.Clone(candidates)
 		for i, n := range usable {
--- a/internal/cell/health.go
+++ b/internal/cell/health.go
@@ -53,8 +53,23 @@
 // onProbation reports whether the worker gets one run at a time.
 func (h *health) onProbation(now time.Duration) bool { return now < h.probationUntil }
 
-// clear ends the suspicions and the probation.
-func (h *health) clear() { *h = health{quarantineUntil: h.quarantineUntil} }
+// retrialDue reports whether a worker on probation may be given a task that has failed on it.
+// Another one has the first chance to show whether the worker or the task is at fault.
+func (h *health) retrialDue(now time.Duration) bool {
+	if h.quarantined(now) {
+		return h.trialDue(now - trialTime)
+	}
+	return now >= h.quarantineUntil+trialTime
+}
+
+// clear ends the suspicions and the probation after a run that was done: the tasks that have
+// failed before are at fault if they fail again.
+func (h *health) clear() {
+	for _, s := range h.suspicions {
+		s.task.failedOnSound = true
+	}
+	*h = health{quarantineUntil: h.quarantineUntil}
+}
 
 // suspectTask returns the task by which failures of t are told apart: a gang fails as a whole.
 func (t *task) suspectTask() *task {
@@ -65,8 +80,8 @@
 }
 
 // recordWorkerFailure records a failed run of t on a worker, which then gets no work for
-// failureCooldown. A task that has failed on two workers is itself at fault, so its
-// failures show nothing about either of them.
+// failureCooldown. A task that has failed on two workers, or repeatedly on one where another was
+// done meanwhile, is itself at fault, so its failures show nothing about them.
 func (o *Owner) recordWorkerFailure(n *node, t *task) {
 	now := o.Now()
 	t = t.suspectTask()
@@ -74,7 +89,7 @@
 	switch {
 	case t.atFault:
 		return
-	case t.failedOn != nil && t.failedOn != n:
+	case t.failedOn != nil && (t.failedOn != n || t.failedOnSound):
 		t.atFault = true
 		o.withdrawSuspicion(t.failedOn, t)
 		return
--- a/internal/cell/health_test.go
+++ b/internal/cell/health_test.go
@@ -85,6 +85,31 @@
 	}
 }
 
+// TestFailingTasksLeaveTheOnlyWorker guards against work that never starts because tasks that
+// always fail, and may run on the same single worker only, come first in each of its trials.
+func TestFailingTasksLeaveTheOnlyWorker(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.workers["w02"].worker.Labels = []string{"b"}
+	s.claim()
+	loop, short := newStep(4, 500*time.Millisecond), newStep(1, 200*time.Millisecond)
+	loop.LongRunning, loop.Label, short.Label = true, "b", "b"
+	loop.Demand.MilliCores = 500
+	s.submit("loop", loop)
+	s.jobs["loop"].spec.Payload = "fails"
+	s.run(2 * time.Second)
+	for i := range 30 {
+		id := fmt.Sprintf("j%d", i)
+		s.submit(id, short)
+		limit := time.Second
+		if i == 0 {
+			limit = 5 * time.Second // until the tasks are known to be at fault
+		}
+		assert.Assert(t, s.startsWithin(id, limit), "%s at %s", id, s.now)
+		s.run(s.now + time.Second)
+	}
+	assert.Assert(t, s.ackedFailures["loop.0.0.0"] > 10, "the tasks are restarted for ever")
+}
+
 // TestProbationEndsWithoutWork guards against a worker that stays on probation for ever because
 // all that waits needs several runs on it at a time.
 func TestProbationEndsWithoutWork(t *testing.T) {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -82,7 +82,8 @@
 	lastDetachedAt time.Duration
 	preemptions    int   // times that a run was stopped for work of a higher priority
 	failedOn       *node // worker on which it has failed; nil: none
-	atFault        bool  // it has failed on two workers
+	failedOnSound  bool  // a run of another task was done there since
+	atFault        bool  // it fails wherever it runs
 }
 
 func (t *task) ref() work.TaskRef {
