fix: bound the time after which a run counts as stalled

Cause: the doubling could overflow with the longest estimate that a job may have. Measured: TestStallTime has the longest estimate and passes.

--- a/internal/sched/straggler.go
+++ b/internal/sched/straggler.go
@@ -60,14 +60,14 @@
 // expectation may be wrong: a task that has stalled on several workers is rather a long one.
 func StallTime(perStep time.Duration, stalls int) time.Duration {
 	d := max(stallSteps*perStep, minStallTime)
-	for range min(max(stalls-1, 0), maxStallDoublings) {
+	for i := 1; i < stalls && d < longStallTime; i++ {
 		d *= 2
 	}
 	return d
 }
 
-// maxStallDoublings bounds StallTime. A task whose steps take longer would run for months.
-const maxStallDoublings = 16
+// longStallTime is the time from which on StallTime is not doubled any more.
+const longStallTime = 24 * time.Hour
 
 // IsStraggler reports whether a new run elsewhere would end significantly sooner. The
 // new run can start after restartDelay and has to do restartFraction of the work. A
--- a/internal/sched/straggler_test.go
+++ b/internal/sched/straggler_test.go
@@ -57,10 +57,11 @@
 	}{
 		{"a short task", 10 * time.Millisecond, 0, 700 * time.Millisecond},
 		{"nothing is expected", 0, 0, 700 * time.Millisecond},
+		{"the longest estimate", 8 * 30 * 24 * time.Hour / 100, 1 << 30, 4 * 8 * 30 * 24 * time.Hour / 100},
 		{"a task of an hour", 36 * time.Second, 0, 144 * time.Second},
 		{"stalled once", 0, 1, 700 * time.Millisecond},
 		{"stalled three times", 0, 3, 2800 * time.Millisecond},
-		{"stalled for ever", 0, 1 << 30, 700 * time.Millisecond << maxStallDoublings},
+		{"stalled for ever", 0, 1 << 30, 700 * time.Millisecond << 17},
 	} {
 		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, StallTime(tc.perStep, tc.stalls), tc.want) })
 	}
