fix: count the age of an adopted run up to its takeover

Cause: the time for which a run of a former owner may stand still followed from the age of its step, which grew with the time that it stood still. A run that stalled at up to 4 % was never found, one at some more percent late.

Change: the age counts up to the moment at which the run was first seen.

--- a/internal/cell/long_test.go
+++ b/internal/cell/long_test.go
@@ -66,6 +66,32 @@
 	assert.Equal(t, s.owner.Counters.Stragglers, int64(0))
 }
 
+// TestStalledRunIsFoundAfterTakeover guards against a run that stands still for ever because its
+// new owner expects too little of it.
+func TestStalledRunIsFoundAfterTakeover(t *testing.T) {
+	for _, at := range []time.Duration{3 * time.Second, 8 * time.Second, time.Minute} {
+		t.Run(at.String(), func(t *testing.T) {
+			s := newSim(t, 1, 4)
+			s.claim()
+			s.submit("long", newStep(1, 100*time.Second))
+			s.jobs["long"].spec.Payload = "100s"
+			s.run(at)
+			for _, w := range s.workers {
+				for _, r := range w.runs {
+					r.stuckAt = s.now
+				}
+			}
+			s.owner.kill()
+			s.run(s.now + time.Second)
+			s.claim()
+			s.run(s.now + at + 6*time.Second)
+			assert.Equal(t, s.owner.Counters.Stragglers, int64(1))
+			s.run(s.now + 110*time.Second)
+			s.assertState("long", work.StateCompleted)
+		})
+	}
+}
+
 // TestExpectedEndBeyondEstimate guards against capacity that is kept for work that waits for a
 // long task: the task has exceeded its estimate and seemed to end at any moment.
 func TestExpectedEndBeyondEstimate(t *testing.T) {
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -131,9 +131,9 @@
 	if r.sentAt > 0 || r.percent == 0 {
 		return expected
 	}
-	// A run of a former owner has taken at most the age of its step. A restart would cost
-	// as much.
-	age := max(o.WallClock()-r.task.step.runnableSince(), 0)
+	// A run of a former owner has taken at most the age of its step at the takeover. A restart
+	// would cost as much.
+	age := max(o.WallClock()-(o.Now()-r.firstAt)-r.task.step.runnableSince(), 0)
 	return max(expected, age/time.Duration(max(r.percent, minSteps)))
 }
 
