fix: let work of a lower priority have the trial if all workers are quarantined

Cause: a reserve for urgent work is a part of the free capacity of the workers that are not quarantined. Change: the reserve does not apply if no worker is free of a quarantine. Measured: TestLowPriorityGetsTheTrial fails before and passes now; the tests of internal/cell pass.

--- a/internal/cell/health_test.go
+++ b/internal/cell/health_test.go
@@ -110,6 +110,25 @@
 	assert.Assert(t, s.ackedFailures["loop.0.0.0"] > 10, "the tasks are restarted for ever")
 }
 
+// TestLowPriorityGetsTheTrial guards against work of a lower priority that waits for the whole
+// quarantine because all workers of its service are quarantined: none of them counts as free.
+func TestLowPriorityGetsTheTrial(t *testing.T) {
+	s := newSim(t, 1, 1)
+	s.tables.Queues = append(s.tables.Queues, work.Queue{Name: "low", Service: "pool", Attempts: 3, Stretch: 100, Target: time.Minute, Priority: 1})
+	s.tables.BuildIndexes()
+	s.claim()
+	s.workers["w00"].fails = true
+	s.run(100 * time.Millisecond)
+	for i := range 3 {
+		s.submitLow(fmt.Sprintf("bad%d", i), 500*time.Millisecond, "500ms")
+		s.run(s.now + 300*time.Millisecond)
+	}
+	s.run(2 * time.Second)
+	s.workers["w00"].fails = false
+	s.submitLow("good", 500*time.Millisecond, "500ms")
+	assert.Assert(t, s.startsWithin("good", soleQuarantineTime+500*time.Millisecond))
+}
+
 // TestProbationEndsWithoutWork guards against a worker that stays on probation for ever because
 // all that waits needs several runs on it at a time.
 func TestProbationEndsWithoutWork(t *testing.T) {
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -211,7 +211,7 @@
 
 // admits reports whether the group may take demand of the free capacity now.
 func (p *pool) admits(g *group, demand resource.Vector) bool {
-	if g.rank.Priority <= 0 || !p.urgent {
+	if g.rank.Priority <= 0 || !p.urgent || len(p.nodes) == 0 {
 		return true
 	}
 	return sched.Reserve{Fraction: reserveFraction}.Admits(p.free, p.total, demand, g.slack, g.timeBudget)
