fix: drop placement advice with a worker that its owner forgets

Cause: a worker that comes back after its owner has forgotten it has a new incarnation, but the answers of the adviser about the former one were kept under its id. Change: they are dropped when the worker is forgotten. Measured: TestAdviceIsForOneIncarnation fails before with a worker that was down for 20 s (the job is still queued) and passes now; the tests of internal/cell pass.

--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -98,10 +98,19 @@
 
 // TestAdviceIsForOneIncarnation guards against work that never starts because the adviser has
 // not allowed the former incarnation of a worker: the next one is of another kind, and is
-// allowed. It starts before or while the adviser processes the query.
+// allowed. It starts after or while the adviser processes the query, or after its owner has
+// forgotten the worker.
 func TestAdviceIsForOneIncarnation(t *testing.T) {
-	for _, restartAt := range []time.Duration{300 * time.Millisecond, 110 * time.Millisecond} {
-		t.Run(restartAt.String(), func(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		restartAt time.Duration
+		downFor   time.Duration
+	}{
+		{"after the query", 300 * time.Millisecond, 10 * time.Millisecond},
+		{"during the query", 110 * time.Millisecond, 10 * time.Millisecond},
+		{"after it was forgotten", 300 * time.Millisecond, 20 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			s := newSim(t, 1, 1)
 			s.tables.Queues[0].Advice = &work.Advice{Decide: 200 * time.Millisecond, Valid: time.Second}
 			s.claim()
@@ -115,8 +124,14 @@
 				s.after(cost, func() { s.owner.call(func() { done(response, nil) }) })
 			}
 			s.submit("a", newStep(1, 500*time.Millisecond))
-			s.after(restartAt-s.now, func() { s.workers["w00"].crash(10 * time.Millisecond) })
-			s.run(15 * time.Second)
+			w := s.workers["w00"]
+			s.after(tc.restartAt-s.now, func() {
+				w.crash(tc.downFor)
+				w.unlisted = tc.downFor > time.Second
+			})
+			s.run(tc.restartAt + tc.downFor)
+			w.unlisted = false
+			s.run(40 * time.Second)
 			s.assertState("a", work.StateCompleted)
 		})
 	}
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -118,6 +118,7 @@
 
 func (o *Owner) removeNode(n *node) {
 	delete(o.nodes, n.worker.ID)
+	o.forgetAdvice(n.worker.ID)
 	if n.fenceSeq > 0 {
 		o.removedFences[n.worker.ID] = n.fenceSeq
 	}
