style: names in the renewal of leases, and the rule of quarantine on its page

Cause: a local variable had the name of a method, and the page had the former rule. Change: names and text only. Measured: the tests of internal/cell pass.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -144,8 +144,9 @@
 	return w
 }
 
-// query makes the next call to the worker one that any incarnation may execute.
-func (n *node) query(now time.Duration) {
+// queryNext makes the next renewal a query, which any incarnation may answer. Until then the
+// worker gets no work.
+func (n *node) queryNext(now time.Duration) {
 	n.responded = false
 	n.nextRenewal = now
 }
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -22,11 +22,11 @@
 // in terms of the incarnation that has responded last, and no other one may receive them.
 func (o *Owner) renew(n *node, now time.Duration) {
 	request := work.RenewRequest{Fence: n.fence(o.Epoch)}
-	addressee := n.worker
-	addressee.Born = 0
+	to := n.worker
+	to.Born = 0
 	current := n.responded && n.missedRenewals == 0
 	if current {
-		addressee = n.addressee()
+		to = n.addressee()
 	}
 	if current && !o.passive(now) {
 		request.AckedThrough = n.acknowledge()
@@ -41,7 +41,7 @@
 	n.renewing = true
 	o.Counters.Renewals++
 	fenceSeq, incarnation := n.fenceSeq, n.incarnation
-	o.Renew(addressee, request, func(response work.RenewResponse, err error) {
+	o.Renew(to, request, func(response work.RenewResponse, err error) {
 		n.renewing = false
 		received := o.Now()
 		switch {
@@ -55,7 +55,7 @@
 		case errs.Is(err, work.ErrOtherIncarnation):
 			o.handleReplaced(n, received)
 		case errs.Is(err, work.ErrRestarted):
-			n.query(received)
+			n.queryNext(received)
 		default:
 			o.handleMissedRenewal(n, err, received)
 		}
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -309,9 +309,9 @@
 		n.cooldownUntil = now + unhealthyCooldown
 	case errs.Is(err, work.ErrOtherIncarnation):
 		n.resolved = false
-		n.query(now)
+		n.queryNext(now)
 	case errs.Is(err, work.ErrRestarted):
-		n.query(now)
+		n.queryNext(now)
 	case errs.Is(err, work.ErrNoCapacity):
 		// The view of the worker is wrong: refresh it before the next start.
 		n.cooldownUntil = now + refusalCooldown
@@ -373,7 +373,7 @@
 		case errs.Is(err, work.ErrFenced):
 			o.handleFenced(n, request.Fence)
 		case errs.Is(err, work.ErrRestarted):
-			n.query(o.Now())
+			n.queryNext(o.Now())
 		}
 	})
 }
