--- a/internal/cell/health_test.go
+++ b/internal/cell/health_test.go
@@ -47,7 +47,7 @@
 			only.fails = false
 			s.run(s.now + time.Second)
 			s.submit("good", short)
-			// The rule LOST allows for 4 s after the trouble and 3 s without a run.
+			// A job may stand still for 3 s once the cell has been sound for 4 s.
 			assert.Assert(t, s.startsWithin("good", 6*time.Second))
 			// A backlog runs beside the lasting task again.
 			for i := range 20 {
