cell: evacuate data centres that the store names

A data centre could only be emptied by draining each of its workers. The owner now reads the prefix op/evacuate/ concurrently with the worker list, and so does a new owner before its first start. Both are dated by the beginning of the read, and a failed read of either keeps both. Workers in a named data centre are not available; starts that were planned there are withdrawn by the existing check.

--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -109,7 +109,7 @@
 	if s.spec.Rack != "" && s.spec.Rack != n.worker.Rack {
 		p += max(o.Bounds.RemoteDataSlowdown-1, 0)
 	}
-	return p + o.slownessPenalty(n, now)
+	return p + n.coldPenalty(now) + o.slownessPenalty(n, now)
 }
 
 func (n *node) free() resource.Vector { return n.worker.Capacity.Sub(n.used) }
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -71,6 +71,7 @@
 	failedRuns     []int64 // failed runs; only the last ones for a long-running task
 	lastRun        int64   // highest run number used
 	checkpoint     string
+	savedAt        time.Duration // when this owner first observed the checkpoint; 0: it has observed none
 	runs           []*run
 	retryAt        time.Duration
 	avoidedWorkers []string      // workers on which it failed or was slow
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -89,6 +89,7 @@
 			o.handleUnlisted(n, now)
 		}
 	}
+	o.reportEvacuations()
 }
 
 // updateWorker applies the list entry of a worker. Another address or a higher
@@ -116,6 +117,8 @@
 	}
 	n.worker = w
 	n.listed = true
+	n.evacuated = o.evacuated[w.Place]
+	n.coldUntil = o.workersListedAt + w.ColdLeft
 	if w.Draining {
 		n.leaveAt = now + w.Remaining
 	}
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -45,6 +45,8 @@
 	confirmedAt    time.Duration // when the last answered call was sent
 	missedRenewals int
 	leaveAt        time.Duration // earliest time at which a draining worker leaves
+	coldUntil      time.Duration // until when it is slow after its start
+	evacuated      bool          // its data centre is evacuated
 
 	renewing         bool
 	nextRenewal      time.Duration
@@ -161,7 +163,7 @@
 
 // available reports whether the worker could be given work, unless it is quarantined.
 func (n *node) available(now time.Duration) bool {
-	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && now >= n.cooldownUntil
+	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && !n.evacuated && now >= n.cooldownUntil
 }
 
 // described reports whether the list entry is that of the worker's current incarnation.
@@ -212,6 +214,7 @@
 			o.removeNode(n)
 		}
 	}
+	o.drain(now)
 	o.evacuate(now)
 }
 
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -114,6 +114,9 @@
 	nodes                map[string]*node
 	workersListedAt      time.Duration              // when the reading of the last worker list began
 	sortedNodes          []*node                    // by ID
+	evacuated            map[string]bool            // data centres whose evacuation is requested
+	reportedEvacuations  map[string]bool            // those of them that were logged
+	nextMoves            time.Duration              // when runs may next be moved out of them
 	removedFences        map[string]int64           // increments of the fencing token of removed workers, which may return
 	usage                map[string]resource.Vector // resources that runs occupy, by team
 	unresolved           resource.Vector            // capacity that unresolved runs of the predecessor may use
@@ -151,6 +154,7 @@
 type Counters struct {
 	Starts, StartsRefused, StartsUnknown, Stops, Renewals, RenewalsMissed     int64
 	RunsDone, RunsFailed, RunsEndedOtherwise, RunsLost, Preempted, Stragglers int64
+	RunsMoved                                                                 int64 // out of evacuated data centres
 	ProgressWrites, ProgressWritesFailed, AdviceQueries, AdviceQueriesFailed  int64
 	Passes, CandidatesChecked                                                 int64 // scheduling passes, and workers checked
 }
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -251,7 +251,7 @@
 	r.percent, r.metric = row.Percent, row.Metric
 	r.serving = row.Percent >= servingPercent
 	if row.Checkpoint != "" && row.Checkpoint != t.checkpoint {
-		t.setCheckpoint(row.Checkpoint)
+		t.setCheckpoint(row.Checkpoint, now)
 	}
 	switch {
 	case r.stopping:
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -384,7 +384,7 @@
 	event.CellEnd.Log(o.Log).Str("task", end.Task.String()).Int64("run", end.Run).Str("worker", n.worker.ID).
 		Str("how", string(end.Reason)).Int64("number", end.Sequence).Send()
 	if end.Checkpoint != "" {
-		t.setCheckpoint(end.Checkpoint)
+		t.setCheckpoint(end.Checkpoint, o.Now())
 	}
 	if r != nil {
 		o.detach(r)
@@ -433,13 +433,13 @@
 
 // setCheckpoint sets the checkpoint from which the task resumes, for a gang that of
 // all members.
-func (t *task) setCheckpoint(checkpoint string) {
+func (t *task) setCheckpoint(checkpoint string, now time.Duration) {
 	if !t.step.spec.Gang {
-		t.checkpoint = checkpoint
+		t.checkpoint, t.savedAt = checkpoint, now
 		return
 	}
 	for _, member := range t.step.tasks {
-		member.checkpoint = checkpoint
+		member.checkpoint, member.savedAt = checkpoint, now
 	}
 }
 
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -33,17 +33,19 @@
 	ackedDone        map[string]bool // tasks whose end as done was acknowledged
 	ackedFailures    map[string]int  // acknowledged failures by task
 	trace            []string
-	entriesExpired   bool          // every other worker's entry in the store has expired
-	directory        []work.Worker // worker directory as the last owner recorded it
-	listStale        bool          // the worker list is not read
-	listInterval     time.Duration // between two reads of the worker list
-	listDelay        time.Duration // from the start of a read until it is applied
-	replacedWorkers  int           // workers that are gone for good
-	freshProcess     bool          // owners are processes that have just started
-	connected        bool          // successors have heard from their predecessor
-	ownerReachesRest bool          // in some splits the owner reaches all workers
-	asksPeers        bool          // owners start nothing without a record if a host has access to the store
-	processor        processor     // of the owners
+	evacuated        map[string]time.Duration // data centres whose evacuation is requested, and since when
+	entriesExpired   bool                     // every other worker's entry in the store has expired
+	directory        []work.Worker            // worker directory as the last owner recorded it
+	listStale        bool                     // the worker list is not read
+	savesOften       bool                     // tasks save their progress at each tenth, not only when they are stopped
+	listInterval     time.Duration            // between two reads of the worker list
+	listDelay        time.Duration            // from the start of a read until it is applied
+	replacedWorkers  int                      // workers that are gone for good
+	freshProcess     bool                     // owners are processes that have just started
+	connected        bool                     // successors have heard from their predecessor
+	ownerReachesRest bool                     // in some splits the owner reaches all workers
+	asksPeers        bool                     // owners start nothing without a record if a host has access to the store
+	processor        processor                // of the owners
 	adviser          simAdviser
 	// loseResponse and delayRequest are the probabilities of these faults per request.
 	loseResponse, delayRequest float64
@@ -88,11 +90,11 @@
 const simLatency = time.Millisecond
 
 // newSim returns a simulation without owner and jobs. Its workers have four cores
-// each, with four workers per rack.
+// each, with four workers per rack. The first half of them is in place-0, the rest in place-1.
 func newSim(t *testing.T, seed uint64, workers int) *sim {
 	s := &sim{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*simWorker{}, jobs: map[string]*simJob{},
-		store:     simStore{records: map[string]simRecord{}, lastFailure: -time.Hour},
+		store: simStore{records: map[string]simRecord{}, lastFailure: -time.Hour}, evacuated: map[string]time.Duration{},
 		ackedDone: map[string]bool{}, ackedFailures: map[string]int{}, listInterval: 400 * time.Millisecond,
 		adviser: simAdviser{hosts: 4, maxPending: 40 * time.Millisecond, allowedFraction: 2.0 / 3, validity: time.Second},
 	}
@@ -108,7 +110,7 @@
 		s.workers[id] = &simWorker{
 			sim: s, runs: map[string]*simRun{}, highestEnded: map[string]int64{}, throttles: map[string]int{},
 			worker: work.Worker{
-				ID: id, Address: id, Pool: "pool", Rack: fmt.Sprintf("r%d", i/4), Born: 1,
+				ID: id, Address: id, Pool: "pool", Place: fmt.Sprintf("place-%d", 2*i/workers), Rack: fmt.Sprintf("r%d", i/4), Born: 1,
 				Capacity: resource.Vector{MilliCores: 4000, MemoryMB: 8000},
 			},
 		}
@@ -245,6 +247,7 @@
 	}
 	o.Restore(stored)
 	o.RestoreWorkers(s.directory)
+	o.SetEvacuated(slices.Collect(maps.Keys(s.evacuated)))
 	o.SetWorkers(s.list(), s.now)
 	o.tick()
 	o.refreshWorkers()
@@ -266,8 +269,9 @@
 		return
 	}
 	if !o.sim.store.down && !o.cut && !o.sim.listStale {
-		list, asOf := o.sim.list(), o.sim.now
+		list, evacuated, asOf := o.sim.list(), slices.Collect(maps.Keys(o.sim.evacuated)), o.sim.now
 		apply := func() {
+			o.SetEvacuated(evacuated)
 			o.SetWorkers(list, asOf)
 			if o.sim.store.ownerRev == o.rowRevision {
 				o.ConfirmOwnership(asOf)
--- a/internal/cell/sim_worker_test.go
+++ b/internal/cell/sim_worker_test.go
@@ -82,7 +82,8 @@
 	})
 }
 
-// drainBound is the time after which a draining worker must get no work.
+// drainBound is the time after which a draining worker, and one in an evacuated data centre,
+// must get no work.
 const drainBound = 2 * time.Second
 
 // drain marks the worker as draining.
@@ -130,6 +131,9 @@
 	if w.worker.Draining && s.now > w.drainingAt+drainBound {
 		s.fatalf("%s starts on %s, which has been draining for %s", name, w.worker.ID, s.now-w.drainingAt)
 	}
+	if since, ok := s.evacuated[w.worker.Place]; ok && s.now > since+drainBound {
+		s.fatalf("%s starts on %s, whose data centre has been evacuated for %s", name, w.worker.ID, s.now-since)
+	}
 	if step.Label != "" && !w.worker.HasLabel(step.Label) {
 		s.fatalf("%s starts on %s, which lacks the label %s", name, w.worker.ID, step.Label)
 	}
@@ -267,7 +271,11 @@
 func (w *simWorker) listRuns() work.RenewResponse {
 	response := work.RenewResponse{Clock: w.clock(), Born: w.worker.Born, Ended: slices.Clone(w.ends[:min(len(w.ends), work.MaxListedEnds)])}
 	for _, r := range w.runs {
-		response.Running = append(response.Running, work.RunStatus{Task: r.ref, Run: r.run, Percent: r.percent(w.sim.now), Metric: w.metric})
+		row := work.RunStatus{Task: r.ref, Run: r.run, Percent: r.percent(w.sim.now), Metric: w.metric}
+		if saved := row.Percent / 10 * 10; w.sim.savesOften && r.saves && saved > 0 {
+			row.Checkpoint = strconv.Itoa(saved)
+		}
+		response.Running = append(response.Running, row)
 	}
 	return response
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -112,6 +112,8 @@
 	LogLinesDropped        = define(1165, zerolog.WarnLevel, "log lines dropped")
 	OwnerNotNotified       = define(1166, zerolog.WarnLevel, "owner not notified of a change")
 	CellEstablished        = define(1167, zerolog.InfoLevel, "former owner fenced")
+	EvacuationRequested    = define(1170, zerolog.InfoLevel, "evacuation of a data centre requested")
+	EvacuationEnded        = define(1171, zerolog.InfoLevel, "evacuation of a data centre ended")
 	InvariantBroken        = define(190, zerolog.ErrorLevel, "invariant violated")
 )
 
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -123,11 +123,12 @@
 func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, observed ownerRow, former predecessor, progressed func()) (err error) {
 	var stored []cell.StoredJob
 	var workers, directory []work.Worker
+	var evacuated []string
 	var watchFrom int64
 	listed := bootClock()
 	err = runConcurrently(
 		func() (err error) { stored, watchFrom, err = h.loadJobs(ctx, progressed); return err },
-		func() (err error) { workers, err = h.listWorkers(ctx); return err },
+		func() (err error) { workers, evacuated, err = h.readWorkers(ctx); return err },
 		func() (err error) { directory, err = h.formerWorkers(ctx); return err },
 	)
 	if err != nil {
@@ -148,6 +149,7 @@
 		h.cancelOwner = cancel
 		h.cellOwner.Restore(stored)
 		h.cellOwner.RestoreWorkers(directory)
+		h.cellOwner.SetEvacuated(evacuated)
 		h.cellOwner.SetWorkers(workers, listed)
 		h.cellOwner.Tick()
 		h.publishView()
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -52,7 +52,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, interval)
 		asOf := bootClock()
-		workers, err := h.listWorkers(ctx)
+		workers, evacuated, err := h.readWorkers(ctx)
 		if err != nil {
 			continue
 		}
@@ -62,6 +62,7 @@
 		err = h.loop.Call(ctx, func() {
 			if h.cellOwner != nil {
 				h.chooseCarriers(len(workers))
+				h.cellOwner.SetEvacuated(evacuated)
 				h.cellOwner.SetWorkers(workers, asOf)
 				list, due = h.cellOwner.WorkerDirectory()
 				h.cellOwner.Tick()
@@ -151,6 +152,37 @@
 	return workers, nil
 }
 
+// readWorkers concurrently reads the worker list and the evacuated data centres. Both are
+// as old as the beginning of the call. If either cannot be read, neither is returned, so that
+// no evacuation request is missing in what the owner takes for a fresh list.
+func (h *Host) readWorkers(ctx context.Context) (workers []work.Worker, evacuated []string, err error) {
+	err = runConcurrently(
+		func() (err error) { workers, err = h.listWorkers(ctx); return err },
+		func() (err error) { evacuated, err = h.listEvacuations(ctx); return err },
+	)
+	if err != nil {
+		return nil, nil, err
+	}
+	return workers, evacuated, nil
+}
+
+// listEvacuations reads the names of the data centres whose evacuation is requested. The
+// values of the keys have no meaning.
+func (h *Host) listEvacuations(ctx context.Context) (places []string, err error) {
+	prefix := h.StoreLayout.EvacuationsPrefix
+	if prefix == "" {
+		return nil, nil
+	}
+	items, _, err := h.store.List(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	for i := range items {
+		places = append(places, strings.TrimPrefix(items[i].Key, prefix))
+	}
+	return places, nil
+}
+
 // listWorkers reads the worker list. Malformed entries are skipped, and each version of
 // one is logged once.
 func (h *Host) listWorkers(ctx context.Context) (workers []work.Worker, err error) {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,13 +44,16 @@
 	Advise func(ctx context.Context, request work.AdviceRequest) (work.AdviceResponse, error)
 }
 
-// StoreLayout describes where the platform stores the worker list and the
-// operators' configuration, and how to decode them.
+// StoreLayout describes where the platform stores the worker list, the operators'
+// evacuation requests and configuration, and how to decode them.
 type StoreLayout struct {
 	WorkersPrefix string
 	DecodeWorker  func(key string, value []byte) (work.Worker, error)
-	TablesKey     string
-	DecodeTables  func(value []byte) (*work.Tables, error)
+	// EvacuationsPrefix is that of the keys that request the evacuation of the data
+	// centre that the rest of the key names; empty: there are none.
+	EvacuationsPrefix string
+	TablesKey         string
+	DecodeTables      func(value []byte) (*work.Tables, error)
 }
 
 // Host is one entry host. Set the exported fields before Run.
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -39,7 +39,7 @@
 func (h *Host) writeOwner(ctx context.Context, page *bytes.Buffer) {
 	var counters cell.Counters
 	var owner bool
-	var jobs, open, workers, usable int
+	var jobs, open, workers, usable, evacuatedPlaces, evacuatedRuns int
 	var epoch int64
 	err := h.loop.Call(ctx, func() {
 		if h.cellOwner == nil {
@@ -48,6 +48,7 @@
 		owner, epoch, counters = true, h.cellOwner.Epoch, h.cellOwner.Counters
 		jobs, open = h.cellOwner.Jobs()
 		workers, usable = h.cellOwner.Workers()
+		evacuatedPlaces, evacuatedRuns = h.cellOwner.Evacuated()
 	})
 	if err != nil {
 		h.Log.Warn().Err(err).Msg("cannot read the metrics of the cell")
@@ -64,6 +65,8 @@
 	gauge("jobs_open", int64(open))
 	gauge("workers", int64(workers))
 	gauge("workers_usable", int64(usable))
+	gauge("evacuated_data_centres", int64(evacuatedPlaces))
+	gauge("evacuated_data_centres_runs", int64(evacuatedRuns))
 	gauge("starts_total", counters.Starts)
 	gauge("starts_refused_total", counters.StartsRefused)
 	gauge("starts_unknown_total", counters.StartsUnknown)
@@ -75,6 +78,7 @@
 	gauge("runs_ended_otherwise_total", counters.RunsEndedOtherwise)
 	gauge("runs_lost_total", counters.RunsLost)
 	gauge("runs_preempted_total", counters.Preempted)
+	gauge("runs_moved_total", counters.RunsMoved)
 	gauge("stragglers_total", counters.Stragglers)
 	gauge("record_writes_total", counters.ProgressWrites)
 	gauge("record_writes_failed_total", counters.ProgressWritesFailed)
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -21,6 +21,7 @@
 	Capacity  resource.Vector
 	Draining  bool
 	Remaining time.Duration // minimum time until a draining worker leaves
+	ColdLeft  time.Duration // remaining time for which it is slow after its start; 0: it is not, or unknown
 	// Born is the incarnation number: the start time in Unix milliseconds. In a call it is
 	// that of the only incarnation that may execute the call. 0: unknown, or any.
 	Born int64
