--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -224,7 +224,7 @@
 func (o *Owner) moveStep(s *step, nodes []*node, now time.Duration) (m sched.MoveStep, runs []*run) {
 	m = sched.MoveStep{
 		Lasting: s.spec.LongRunning, Gang: s.spec.Gang, Tasks: len(s.tasks) - s.tasksDone, Demand: s.tasks[0].demand(),
-		MaxAway: s.spec.MaxUnavailable, MaxTasks: o.maxTasksElsewhere(s, nodes, now), MoveTime: o.Bounds.StopTimeout + restartDelay,
+		MaxAway: s.spec.MaxUnavailable, MaxTasks: o.maxTasksElsewhere(s, nodes), MoveTime: o.Bounds.StopTimeout + restartDelay,
 	}
 	m.Away, m.Waiting = s.away()
 	if advice := s.job.policy.Advice; advice != nil {
@@ -252,7 +252,7 @@
 // maxTasksElsewhere returns how many more tasks of the step each of the workers may take. Of
 // the workers about which the adviser was not queried only a part counts, because it allows
 // only a part of them.
-func (o *Owner) maxTasksElsewhere(s *step, nodes []*node, now time.Duration) (counts []int) {
+func (o *Owner) maxTasksElsewhere(s *step, nodes []*node) (counts []int) {
 	here := map[*node]int{}
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
