cell: learn lasting speeds of workers and place work by its predicted end

Cause: placement knew only workers that were clearly slower than siblings in the last seconds. In a cell in which a third of the workers take 1.7 times the nominal time, a short job (stretch 1.5) with one task there is late. Change: internal/speed learns the slowness of kinds and workers from siblings of one step and the bias of queues from estimates. sched.Need says how much time a step has: work in time anywhere takes slow workers, other work the fastest ones, for placement, gangs and placement queries. Reservations and the detection of stragglers use the speed of the worker. Event 1135 and three counters. Tests of cell, sched, speed, event and host pass.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -8,6 +8,7 @@
 
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -192,17 +193,21 @@
 
 // queriedWorker is a worker that a placement query names.
 type queriedWorker struct {
-	node    *node
-	known   bool // known to be allowed
-	fits    int64
-	free    resource.Vector
-	promise resource.Vector // capacity that the step is expected to take there
+	node     *node
+	known    bool // known to be allowed
+	fits     int64
+	slowness float64
+	free     resource.Vector
+	promise  resource.Vector // capacity that the step is expected to take there
 }
 
 // compareQueried orders workers by their use to a step: workers with free capacity
-// first, and among these the ones known to be allowed. Busy workers with more free
-// capacity come before fuller ones.
-func compareQueried(a, b queriedWorker) int {
+// first, among these the ones of the speed that the step needs, and then the ones known to be
+// allowed. Busy workers with more free capacity come before fuller ones.
+func compareQueried(a, b *queriedWorker, need sched.Need) int {
+	if aFits, bFits := a.fits > 0, b.fits > 0; aFits == bFits && a.slowness != b.slowness {
+		return need.Compare(&sched.Candidate{Slowness: a.slowness}, &sched.Candidate{Slowness: b.slowness})
+	}
 	switch {
 	case a.known != b.known:
 		if a.known {
@@ -240,10 +245,11 @@
 		free := o.freeFor(s, n, now).Sub(n.promised)
 		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.policy.Advice.Decide)), int64(n.maxTasks(s, now))), 0)
 		if fits > 0 || !known {
-			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free})
+			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free, slowness: n.slownessFor(s)})
 		}
 	}
-	slices.SortStableFunc(list, compareQueried)
+	need := o.need(s)
+	slices.SortStableFunc(list, func(a, b queriedWorker) int { return compareQueried(&a, &b, need) })
 	expectedFraction := defaultAllowedFraction
 	if r := o.allowedFractions.of(s.job.spec.Queue); r.count >= minSamples {
 		expectedFraction = max(r.mean, minAllowedFraction)
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -64,7 +64,9 @@
 		if !eligible(n) {
 			continue
 		}
-		candidate := sched.Candidate{Free: o.freeFor(s, n, now), Rack: n.worker.Rack, MaxTasks: n.maxTasks(s, now), Penalty: o.penalty(s, n, now)}
+		candidate := sched.Candidate{
+			Free: o.freeFor(s, n, now), Rack: n.worker.Rack, MaxTasks: n.maxTasks(s, now), Penalty: o.penalty(s, n, now), Slowness: n.slownessFor(s),
+		}
 		candidates = append(candidates, candidate)
 		usable = append(usable, n)
 	}
@@ -138,6 +140,7 @@
 func (o *Owner) assignEach(g *group, p *pool, now time.Duration) (reason WaitReason) {
 	s := g.step
 	candidates, usable := o.candidates(s, p, now)
+	need := o.need(s)
 	assigned := 0
 	for _, t := range g.tasks {
 		switch {
@@ -146,10 +149,11 @@
 		case !p.admits(g, t.demand()):
 			return ReasonReserve
 		}
-		i := o.choose(candidates, usable, t, now)
+		i := o.choose(candidates, usable, t, need, now)
 		if i < 0 {
 			break
 		}
+		o.countPlacement(&candidates[i], need)
 		candidates[i].Free = candidates[i].Free.Sub(t.demand())
 		candidates[i].MaxTasks--
 		o.planRun(t, usable[i], o.nextRunNumber(t), s.advice.ticket(usable[i]))
@@ -176,7 +180,10 @@
 }
 
 // choose selects a worker for t and, if possible, avoids workers on which it failed.
-func (o *Owner) choose(candidates []sched.Candidate, usable []*node, t *task, now time.Duration) int {
+func (o *Owner) choose(candidates []sched.Candidate, usable []*node, t *task, need sched.Need, now time.Duration) int {
+	if len(t.runs) > 0 {
+		need.Allowed = 0 // a copy is worth only what it gains
+	}
 	if at := slices.Index(usable, t.failedOn); at >= 0 && t.failedOn.health.onProbation(now) && !t.failedOn.health.retrialDue(now) {
 		candidates = slices.Clone(candidates)
 		candidates[at].MaxTasks = 0
@@ -188,11 +195,11 @@
 				preferred[i].MaxTasks = 0
 			}
 		}
-		if i := sched.Choose(preferred, t.demand()); i >= 0 {
+		if i := sched.Choose(preferred, t.demand(), need); i >= 0 {
 			return i
 		}
 	}
-	return sched.Choose(candidates, t.demand())
+	return sched.Choose(candidates, t.demand(), need)
 }
 
 // withinMaximum reports whether the team may run count more tasks of the step.
@@ -244,7 +251,8 @@
 		return ReasonReserve
 	}
 	candidates, usable := o.candidates(s, p, now)
-	picks := sched.ChooseAll(candidates, g.tasks[0].demand(), len(g.tasks), sched.GangPreference{SameRack: s.spec.RackSensitive})
+	need := o.need(s)
+	picks := sched.ChooseAll(candidates, g.tasks[0].demand(), len(g.tasks), need, sched.GangPreference{SameRack: s.spec.RackSensitive})
 	if picks == nil {
 		if s.job.policy.Advice != nil {
 			return o.queryAdvice(s, p, len(g.tasks), now)
@@ -257,6 +265,7 @@
 		number = max(number, o.nextRunNumber(t))
 	}
 	for i, t := range g.tasks {
+		o.countPlacement(&candidates[picks[i]], need)
 		o.planRun(t, usable[picks[i]], number, s.advice.ticket(usable[picks[i]]))
 		p.allocate(t)
 	}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -54,6 +54,8 @@
 	missedStarts   int            // predictions that proved wrong
 	startedAt      time.Duration  // when the first start was sent
 	lastTaskDoneAt time.Duration  // time of day at which a task was last done
+	observed       int            // tasks whose run time was observed
+	observations   []observation  // of these, those from which nothing was learned yet
 	sweep          int            // last sweep in which the step was checked
 	remainingPath  time.Duration  // longest chain of estimated work from this step on
 	waitReason     WaitReason     // why tasks of the step wait
@@ -75,7 +77,8 @@
 	retryAt        time.Duration
 	avoidedWorkers []string      // workers on which it failed or was slow
 	runTime        time.Duration // of the run that was done, if it did the whole work
-	doneOn         string        // worker of that run
+	doneOn         *node         // worker of that run
+	observed       bool          // the run time of a run was observed
 	restarts       int           // times that a slow run was restarted elsewhere
 	stalls         int           // times that one of them made no progress
 	copyWanted     bool          // a speculative copy is requested
--- a/internal/cell/learn.go
+++ b/internal/cell/learn.go
@@ -37,10 +37,12 @@
 }
 
 // recordRunTime records the run time of a task that is done. All estimates of a queue
-// may be wrong, so a worker is compared with the mean of the queue.
+// may be wrong, so a worker is compared with the mean of the queue. Its lasting speed is taken
+// out: what remains is a passing slowdown.
 func (o *Owner) recordRunTime(r *run, runTime time.Duration) {
 	n, t := r.node, r.task
 	spec := t.step.spec
+	o.observe(r, runTime)
 	if spec.Gang || len(t.failedRuns) > 0 {
 		return
 	}
@@ -51,11 +53,11 @@
 	case sibling == 0 && o.Now() >= n.slowUntil:
 		n.lastOnTimeEnd = o.Now()
 	}
-	t.runTime, t.doneOn = runTime, n.worker.ID
+	t.runTime, t.doneOn = runTime, n
 	if spec.Estimate <= 0 {
 		return
 	}
-	ratio := float64(runTime) / float64(spec.Estimate)
+	ratio := float64(runTime) / float64(spec.Estimate) / n.slowness()
 	queue := o.runTimeRatios.of(t.step.job.spec.Queue)
 	queue.add(ratio)
 	if queue.count > minSamples {
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -116,6 +116,7 @@
 	}
 	n.worker = w
 	n.listed = true
+	o.updateSpeed(n)
 	if w.Draining {
 		n.leaveAt = now + w.Remaining
 	}
@@ -152,6 +153,9 @@
 	n.lastEndProcessed, n.unackedEnds = 0, nil
 	n.health, n.cooldownUntil = health{}, 0
 	n.runTimeRatio, n.slowUntil = runningMean{}, 0
+	if n.speed != nil {
+		n.speed.Restart()
+	}
 	o.forgetAdvice(n.worker.ID)
 	n.nextRenewal = now
 	for _, r := range n.runs {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/speed"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -58,6 +59,9 @@
 	lastOnTimeEnd  time.Duration // when a run last ended within the usual time
 	cooldownUntil  time.Duration
 	health         health
+
+	speed     *speed.Worker // nil until the worker is listed
+	speedPool string        // pool to which speed belongs
 }
 
 // pendingEnd is an end that may be acknowledged once its record is saved.
@@ -119,6 +123,7 @@
 func (o *Owner) removeNode(n *node) {
 	delete(o.nodes, n.worker.ID)
 	o.forgetAdvice(n.worker.ID)
+	o.removeSpeed(n)
 	if n.fenceSeq > 0 {
 		o.removedFences[n.worker.ID] = n.fenceSeq
 	}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -141,6 +141,7 @@
 	deleted              map[string]deletedJob // recently, by ID
 	queueTables          *work.Tables          // from which the jobs took their queues
 	runTimeRatios        runningMeans          // measured run time over the estimate, by queue
+	speeds               map[string]*poolSpeed // learned speeds of the workers, by pool
 	allowedFractions     runningMeans          // fraction of the queried workers that the adviser allows, by queue
 	ownershipLost        bool
 	waitLogsSince        time.Duration // start of the interval in which waitLogs lines were written
@@ -152,7 +153,10 @@
 	Starts, StartsRefused, StartsUnknown, Stops, Renewals, RenewalsMissed     int64
 	RunsDone, RunsFailed, RunsEndedOtherwise, RunsLost, Preempted, Stragglers int64
 	ProgressWrites, ProgressWritesFailed, AdviceQueries, AdviceQueriesFailed  int64
-	Passes, CandidatesChecked                                                 int64 // scheduling passes, and workers checked
+	// Placements on workers that are slower or faster than the mean of their pool, and ones from
+	// which the task is not expected to end in time.
+	PlacedOnSlower, PlacedOnFaster, PlacedBeyondTime int64
+	Passes, CandidatesChecked                        int64 // scheduling passes, and workers checked
 }
 
 // New returns an Owner without jobs and workers.
@@ -174,6 +178,7 @@
 		removedFences:    map[string]int64{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
+		speeds:           map[string]*poolSpeed{},
 		sweep:            1, // a new step has 0: not yet checked
 	}
 }
--- a/internal/cell/preempt.go
+++ b/internal/cell/preempt.go
@@ -34,7 +34,7 @@
 	rank := o.rank(t.step)
 	rank.Started = false // work that is started would never count as late
 	wall := o.WallClock()
-	delay := o.Bounds.StopTimeout + o.expectedRunTime(s)
+	delay := o.Bounds.StopTimeout + o.expectedRunTime(s, r.node)
 	return rank.WithLateness(submitted, wall, remaining) == rank.WithLateness(submitted, wall+delay, remaining)
 }
 
--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -182,7 +182,7 @@
 		total := (r.resolvedAt - r.firstAt) * percentTotal / time.Duration(gained)
 		return max(r.resolvedAt+total*time.Duration(percentTotal-r.percent)/percentTotal, now), true
 	}
-	end = since + o.expectedRunTime(r.task.step)
+	end = since + o.expectedRunTime(r.task.step, r.node)
 	switch {
 	case end >= now:
 	case r.fromStart:
@@ -194,13 +194,14 @@
 	return max(end, now+minRemaining), true
 }
 
-// expectedRunTime returns the estimated run time of a task, corrected by the usual error
-// of the estimates of its queue.
-func (o *Owner) expectedRunTime(s *step) time.Duration {
+// expectedRunTime returns the estimated run time of a task on a worker, corrected by the usual
+// error of the estimates of its queue and the lasting speed of the worker.
+func (o *Owner) expectedRunTime(s *step, n *node) time.Duration {
+	factor := n.slowness()
 	if ratio := o.runTimeRatios.of(s.job.spec.Queue); ratio.count >= minSamples {
-		return time.Duration(float64(s.spec.Estimate) * ratio.mean)
+		factor *= ratio.mean
 	}
-	return s.spec.Estimate
+	return time.Duration(float64(s.spec.Estimate) * factor)
 }
 
 // addReservation reserves one slot.
@@ -265,7 +266,7 @@
 // the reserved capacity is needed. Expectations may be wrong, so each predicted start that was
 // missed doubles the time that the task is assumed to take.
 func (o *Owner) endsBefore(s *step, r *reservation, now time.Duration) bool {
-	return !s.spec.LongRunning && now+o.expectedRunTime(s)<<r.step.missedStarts <= r.at
+	return !s.spec.LongRunning && now+o.expectedRunTime(s, r.node)<<r.step.missedStarts <= r.at
 }
 
 // takeSpare counts a run that was assigned to a worker against what its reservations
--- /dev/null
+++ b/internal/cell/speed.go
@@ -0,0 +1,179 @@
+package cell
+
+import (
+	"time"
+
+	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/sched"
+	"turmericspread.org/turmericspread/internal/speed"
+)
+
+const (
+	// minObservedPercent is the observed progress from which the run time of a running task is
+	// extrapolated for learning. Runs on slow workers end late or are restarted elsewhere, so
+	// ends alone would make slow workers seem faster than they are.
+	minObservedPercent = 25
+	// maxObservations bounds the runs of a step that are learned from together.
+	maxObservations = 64
+	// startOverhead is the time from the choice of a worker to the start of the task: the
+	// progress record is written in between.
+	startOverhead = 60 * time.Millisecond
+	// speedLogInterval is the minimum interval between two lines on the speed of one pool.
+	speedLogInterval = 5 * time.Second
+	// speedLogChange is the relative change of a kind's slowness that is logged.
+	speedLogChange = 0.1
+)
+
+// poolSpeed is what is learned of the workers of a pool.
+type poolSpeed struct {
+	*speed.Model
+	logged   map[*speed.Kind]float64 // slowness when it was last logged
+	loggedAt time.Duration
+}
+
+// speedOf returns what is known of the workers of a pool.
+func (o *Owner) speedOf(pool string) *poolSpeed {
+	p := o.speeds[pool]
+	if p == nil {
+		p = &poolSpeed{Model: speed.New(), logged: map[*speed.Kind]float64{}}
+		o.speeds[pool] = p
+	}
+	return p
+}
+
+// updateSpeed connects a listed worker with what is known of its kind.
+func (o *Owner) updateSpeed(n *node) {
+	if n.speed != nil && n.speedPool == n.worker.Pool && n.speed.Kind().Name() == n.worker.Kind {
+		return
+	}
+	o.removeSpeed(n)
+	n.speedPool = n.worker.Pool
+	n.speed = o.speedOf(n.speedPool).AddWorker(n.worker.Kind)
+}
+
+// removeSpeed drops what is known of a worker.
+func (o *Owner) removeSpeed(n *node) {
+	if n.speed != nil {
+		o.speedOf(n.speedPool).RemoveWorker(n.speed)
+		n.speed = nil
+	}
+}
+
+// slowness returns the lasting factor on run times on the worker.
+func (n *node) slowness() float64 {
+	if n.speed == nil {
+		return 1
+	}
+	return n.speed.Slowness()
+}
+
+// slownessFor returns the slowness by which the worker is chosen for tasks of the step.
+// Tasks with a tail latency have no run time that could be compared.
+func (n *node) slownessFor(s *step) float64 {
+	if n.speed == nil || s.spec.TailLatencyTarget > 0 {
+		return 1
+	}
+	return n.speed.ClassSlowness()
+}
+
+// observation is the run time of a task, at its end or extrapolated.
+type observation struct {
+	node        *node
+	incarnation int64
+	runTime     time.Duration
+}
+
+// observe records the run time of a run, once for each task, and learns from the step's runs
+// when all tasks that run or are done are known: with the early ends alone, the tasks that are
+// short by themselves would be overrepresented.
+func (o *Owner) observe(r *run, runTime time.Duration) {
+	t := r.task
+	s, spec := t.step, t.step.spec
+	if t.observed || spec.Gang || spec.BestEffort || spec.LongRunning {
+		return
+	}
+	t.observed = true
+	s.observed++
+	now := o.Now()
+	if len(t.failedRuns) == 0 && now >= r.node.slowUntil && r.node.speed != nil {
+		if spec.Rack != "" && spec.Rack != r.node.worker.Rack {
+			runTime = time.Duration(float64(runTime) / max(o.Bounds.RemoteDataSlowdown, 1))
+		}
+		s.observations = append(s.observations, observation{r.node, r.node.incarnation, runTime})
+	}
+	if s.observed >= s.tasksDone+s.tasksRunning || len(s.observations) >= maxObservations {
+		o.learnSpeeds(s, now)
+	}
+}
+
+// learnSpeeds learns from the observed runs of a step.
+func (o *Owner) learnSpeeds(s *step, now time.Duration) {
+	pool := s.job.policy.Service
+	sample := speed.Step{Queue: s.job.spec.Queue, Team: s.job.spec.Team, Estimate: s.spec.Estimate}
+	for _, seen := range s.observations {
+		n := seen.node
+		if n.speed != nil && n.speedPool == pool && n.incarnation == seen.incarnation {
+			sample.Runs = append(sample.Runs, speed.Run{Worker: n.speed, RunTime: seen.runTime})
+		}
+	}
+	s.observations = s.observations[:0]
+	p := o.speedOf(pool)
+	p.Learn(now, sample)
+	o.logSpeeds(pool, p, now)
+}
+
+// logSpeeds logs kinds of workers whose slowness has changed notably.
+func (o *Owner) logSpeeds(pool string, p *poolSpeed, now time.Duration) {
+	if p.loggedAt > 0 && now-p.loggedAt < speedLogInterval {
+		return
+	}
+	for _, k := range p.Kinds() {
+		before, known := p.logged[k]
+		if !known {
+			before = 1
+		}
+		if ratio := k.Slowness() / before; ratio < 1+speedLogChange && ratio > 1/(1+speedLogChange) {
+			continue
+		}
+		p.logged[k], p.loggedAt = k.Slowness(), now
+		event.CellSpeedLearned.Log(o.Log).Str("pool", pool).Str("kind", k.Name()).Float64("slowness", k.Slowness()).
+			Float64("before", before).Int("samples", k.Samples()).Send()
+	}
+}
+
+// need returns what the waiting tasks of a step need of the speed of their workers. The
+// estimate and the deadline are corrected by the usual bias of the queue and team: the time
+// that callers allow follows from the work that the job really is.
+func (o *Owner) need(s *step) sched.Need {
+	j := s.job
+	if s.spec.Estimate <= 0 || s.spec.LongRunning || s.spec.BestEffort {
+		return sched.Need{}
+	}
+	p := o.speedOf(j.policy.Service)
+	bias := p.Bias(j.spec.Queue, j.spec.Team)
+	scale := func(d time.Duration) time.Duration { return time.Duration(bias * float64(d)) }
+	wall := o.WallClock()
+	submitted := max(j.spec.Accepted, j.spec.Due(s.occurrence))
+	budget := o.deadline(j, s.occurrence) - submitted
+	budget = j.policy.Target + scale(budget-j.policy.Target)
+	return sched.Allowance{
+		Left:    submitted + budget - wall,
+		Useful:  submitted + sched.ExpiryFactor*budget - wall,
+		Rest:    scale(s.remainingPath - s.spec.Estimate),
+		RunTime: scale(s.spec.Estimate),
+		Margin:  p.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.Fastest(), Overhead: startOverhead,
+	}.Need()
+}
+
+// countPlacement counts a placement by the speed of the worker.
+func (o *Owner) countPlacement(c *sched.Candidate, need sched.Need) {
+	switch {
+	case c.Slowness > 1:
+		o.Counters.PlacedOnSlower++
+	case c.Slowness < 1:
+		o.Counters.PlacedOnFaster++
+	}
+	if !need.InTime(c) {
+		o.Counters.PlacedBeyondTime++
+	}
+}
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -35,12 +35,13 @@
 }
 
 // siblingRunTime returns the typical run time of sibling tasks on other workers,
-// extrapolated from their progress; 0 if too few are known.
+// extrapolated from their progress; 0 if too few are known. It is corrected by the lasting speeds
+// of the workers: a run on a slow kind of worker is no straggler for that alone.
 func (o *Owner) siblingRunTime(r *run) time.Duration {
 	var times []time.Duration
 	for _, t := range r.task.step.tasks {
-		if t.done && t.runTime > 0 && t.doneOn != r.node.worker.ID {
-			times = append(times, t.runTime)
+		if t.done && t.runTime > 0 && t.doneOn != r.node {
+			times = append(times, time.Duration(float64(t.runTime)/t.doneOn.slowness()))
 			continue
 		}
 		for _, other := range t.runs {
@@ -48,10 +49,11 @@
 			if other.node == r.node || !other.measurable() || other.firstAt == 0 || gained < minSiblingPercent {
 				continue
 			}
-			times = append(times, (other.resolvedAt-other.firstAt)*percentTotal/time.Duration(gained))
+			total := (other.resolvedAt - other.firstAt) * percentTotal / time.Duration(gained)
+			times = append(times, time.Duration(float64(total)/other.node.slowness()))
 		}
 	}
-	typical := sched.MedianRunTime(times)
+	typical := time.Duration(float64(sched.MedianRunTime(times)) * r.node.slowness())
 	if spec := r.task.step.spec; spec.Rack != "" && spec.Rack != r.node.worker.Rack {
 		typical = time.Duration(float64(typical) * max(o.Bounds.RemoteDataSlowdown, 1))
 	}
@@ -127,7 +129,7 @@
 	if gained > 1 || gained == 1 && r.fromStart {
 		return (r.baselineAt - r.firstAt) / time.Duration(gained)
 	}
-	expected := cmp.Or(sibling, o.expectedRunTime(r.task.step)) / percentTotal
+	expected := cmp.Or(sibling, o.expectedRunTime(r.task.step, r.node)) / percentTotal
 	if r.sentAt > 0 || r.percent == 0 {
 		return expected
 	}
@@ -143,6 +145,9 @@
 // measureRun measures the speed of a run. A straggler is restarted elsewhere, or gets a
 // speculative copy.
 func (o *Owner) measureRun(r *run, now time.Duration) {
+	if gained := r.percent - r.firstPercent; gained >= minObservedPercent {
+		o.observe(r, (r.resolvedAt-r.firstAt)*percentTotal/time.Duration(gained))
+	}
 	speed := sched.Speed{
 		Window: now - r.baselineAt, Gained: float64(r.percent-r.baselinePercent) / percentTotal, Remaining: float64(percentTotal-r.percent) / percentTotal,
 		Expected: o.siblingRunTime(r),
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -89,6 +89,7 @@
 	CellThrottle           = define(1132, zerolog.InfoLevel, "throttle of a best-effort task changed")
 	CellThrottleFailed     = define(1133, zerolog.WarnLevel, "throttle of a best-effort task not changed")
 	CellStraggler          = define(1134, zerolog.InfoLevel, "run slower than expected")
+	CellSpeedLearned       = define(1135, zerolog.InfoLevel, "speed of a kind of worker learned")
 	CellWorkerListed       = define(1140, zerolog.InfoLevel, "worker added to the worker list")
 	CellWorkerGone         = define(1141, zerolog.InfoLevel, "worker removed from the worker list")
 	CellWorkerRestarted    = define(1142, zerolog.WarnLevel, "worker restarted")
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	slices.SortFunc(groups, func(a, b group) int { return sched.Compare(a.rank, b.rank) })
-//	i := sched.Choose(candidates, step.Demand)
-//	picks := sched.ChooseAll(candidates, step.Demand, step.Count, sched.GangPreference{SameRack: true})
+//	i := sched.Choose(candidates, step.Demand, need)
+//	picks := sched.ChooseAll(candidates, step.Demand, step.Count, need, sched.GangPreference{SameRack: true})
 package sched
 
 import (
@@ -59,15 +59,15 @@
 	return cmp.Compare(a.Deadline, b.Deadline)
 }
 
-// expiryFactor is the multiple of its time budget after which the result of a job is
+// ExpiryFactor is the multiple of its time budget after which the result of a job is
 // useless to its caller.
-const expiryFactor = 3
+const ExpiryFactor = 3
 
 // WithLateness returns the rank with Expired and Late set for the time now. The time
 // budget of the work starts at submitted, and the work is estimated to take remaining
 // from now on. Long-running work has no end and is never late, so callers skip it.
 func (r Rank) WithLateness(submitted, now, remaining time.Duration) Rank {
-	r.Expired = now+remaining > submitted+expiryFactor*(r.Deadline-submitted)
+	r.Expired = now+remaining > submitted+ExpiryFactor*(r.Deadline-submitted)
 	r.Late = !r.Started && now+remaining > r.Deadline
 	return r
 }
@@ -110,22 +110,23 @@
 type Candidate struct {
 	Free     resource.Vector
 	Rack     string
-	Penalty  float64 // estimated slowdown beyond 1, for example for data on another rack
+	Slowness float64 // lasting factor on run times, rounded so that similar workers are equal; 0 means 1
+	Penalty  float64 // estimated passing slowdown beyond 1, for example for data on another rack
 	MaxTasks int     // how many more tasks of the step may be assigned
 }
 
-// Choose returns the index of the best candidate for demand: the lowest penalty, then
-// the fewest free accelerators, then the least free processor time. It returns -1 if no
-// candidate fits. This order leaves whole workers free for tasks that need all of one,
-// while narrow tasks fill the others.
-func Choose(candidates []Candidate, demand resource.Vector) (best int) {
+// Choose returns the index of the best candidate for demand: the one that need prefers, then
+// the lowest penalty, then the fewest free accelerators, then the least free processor time.
+// It returns -1 if no candidate fits. This order leaves whole workers free for tasks that need
+// all of one, while narrow tasks fill the others.
+func Choose(candidates []Candidate, demand resource.Vector, need Need) (best int) {
 	best = -1
 	for i := range candidates {
 		c := &candidates[i]
 		if c.MaxTasks <= 0 || !c.Free.Fits(demand) {
 			continue
 		}
-		if best < 0 || better(c, &candidates[best]) {
+		if best < 0 || better(c, &candidates[best], need) {
 			best = i
 		}
 	}
@@ -133,7 +134,10 @@
 }
 
 // better reports whether a is a better choice than b. Both fit.
-func better(a, b *Candidate) bool {
+func better(a, b *Candidate, need Need) bool {
+	if c := need.Compare(a, b); c != 0 {
+		return c < 0
+	}
 	if a.Penalty != b.Penalty {
 		return a.Penalty < b.Penalty
 	}
@@ -149,20 +153,32 @@
 }
 
 // ChooseAll chooses candidates for count sibling tasks, or for none of them. The
-// result has the index of a candidate for each task.
-func ChooseAll(candidates []Candidate, demand resource.Vector, count int, preference GangPreference) (picks []int) {
+// result has the index of a candidate for each task. The slowest worker decides when the tasks
+// end, so those of similar speed are used together if possible.
+func ChooseAll(candidates []Candidate, demand resource.Vector, count int, need Need, preference GangPreference) (picks []int) {
+	speeds := need.uniformSpeeds(candidates)
 	if preference.SameRack {
-		if picks = chooseSingleRack(candidates, demand, count); picks != nil {
+		for _, allowed := range speeds {
+			if picks = chooseSingleRack(candidates, demand, count, need, allowed); picks != nil {
+				return picks
+			}
+		}
+	}
+	for _, allowed := range speeds {
+		if picks = chooseEach(slices.Clone(candidates), demand, count, need, allowed); picks != nil {
 			return picks
 		}
 	}
-	return chooseEach(slices.Clone(candidates), demand, count, func(*Candidate) bool { return true })
+	return nil
 }
 
 // chooseSingleRack uses the rack with the least free capacity that fits all tasks.
-func chooseSingleRack(candidates []Candidate, demand resource.Vector, count int) (picks []int) {
+func chooseSingleRack(candidates []Candidate, demand resource.Vector, count int, need Need, allowed func(*Candidate) bool) (picks []int) {
 	fits := map[string]int64{}
 	for i := range candidates {
+		if !allowed(&candidates[i]) {
+			continue
+		}
 		fits[candidates[i].Rack] += min(candidates[i].Free.Count(demand), int64(candidates[i].MaxTasks))
 	}
 	chosen := ""
@@ -174,19 +190,19 @@
 	if chosen == "" {
 		return nil
 	}
-	return chooseEach(slices.Clone(candidates), demand, count, func(c *Candidate) bool { return c.Rack == chosen })
+	return chooseEach(slices.Clone(candidates), demand, count, need, func(c *Candidate) bool { return c.Rack == chosen && allowed(c) })
 }
 
 // chooseEach chooses a candidate for each of count tasks among the allowed ones, or
 // returns nil. It modifies candidates.
-func chooseEach(candidates []Candidate, demand resource.Vector, count int, allowed func(*Candidate) bool) (picks []int) {
+func chooseEach(candidates []Candidate, demand resource.Vector, count int, need Need, allowed func(*Candidate) bool) (picks []int) {
 	for i := range candidates {
 		if !allowed(&candidates[i]) {
 			candidates[i].MaxTasks = 0
 		}
 	}
 	for range count {
-		i := Choose(candidates, demand)
+		i := Choose(candidates, demand, need)
 		if i < 0 {
 			return nil
 		}
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -51,7 +51,7 @@
 		{"the only candidate that fits", cores(4), 0},
 		{"no candidate fits", cores(9), -1},
 	} {
-		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, Choose(candidates, tc.want), tc.best) })
+		t.Run(tc.name, func(t *testing.T) { assert.Equal(t, Choose(candidates, tc.want, Need{}), tc.best) })
 	}
 }
 
@@ -65,7 +65,7 @@
 	}
 	narrow := cores(1)
 	narrow.Accelerators = 1
-	assert.Equal(t, Choose([]Candidate{worker(2, 8), worker(9, 1)}, narrow), 1)
+	assert.Equal(t, Choose([]Candidate{worker(2, 8), worker(9, 1)}, narrow, Need{}), 1)
 }
 
 func TestChooseAll(t *testing.T) {
@@ -85,7 +85,7 @@
 		{"all or none", 11, false, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			picks := ChooseAll(candidates, cores(1), tc.count, GangPreference{SameRack: tc.same})
+			picks := ChooseAll(candidates, cores(1), tc.count, Need{}, GangPreference{SameRack: tc.same})
 			assert.DeepEqual(t, picks, tc.picks)
 		})
 	}
@@ -326,7 +326,7 @@
 					continue
 				}
 				total++
-				if j.ended > 0 && j.ended <= j.arrives+expiryFactor*(j.deadline-j.arrives) {
+				if j.ended > 0 && j.ended <= j.arrives+ExpiryFactor*(j.deadline-j.arrives) {
 					n++
 				}
 			}
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -17,6 +17,7 @@
 	Pool      string
 	Place     string // data centre
 	Rack      string
+	Kind      string // label of the kind of machine; empty: unknown
 	Labels    []string
 	Capacity  resource.Vector
 	Draining  bool
