cell: give slow workers only to jobs whose whole budget allows for them

Cause: a short job whose first step had ended early counted as one with ample time, and its second step went to slow workers. Time for placement queries, which callers allow, was not counted. Change: a step may use no more than its share of the job's whole budget and of the time left; the budget and the rest of the job include one placement query a step. A query asks about known allowed workers first if they are fast enough.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -201,19 +201,26 @@
 	promise  resource.Vector // capacity that the step is expected to take there
 }
 
-// compareQueried orders workers by their use to a step: workers with free capacity
-// first, among these the ones of the speed that the step needs, and then the ones known to be
-// allowed. Busy workers with more free capacity come before fuller ones.
+// compareQueried orders workers by their use to a step: workers with free capacity first, among
+// these the ones that are fast enough, then the ones known to be allowed, and then the ones of
+// the speed that is left for the step. Busy workers with more free capacity come before fuller
+// ones.
 func compareQueried(a, b *queriedWorker, need sched.Need) int {
+	speed, enough := 0, false
 	if aFits, bFits := a.fits > 0, b.fits > 0; aFits == bFits && a.slowness != b.slowness {
-		return need.Compare(&sched.Candidate{Slowness: a.slowness}, &sched.Candidate{Slowness: b.slowness})
+		first, second := sched.Candidate{Slowness: a.slowness}, sched.Candidate{Slowness: b.slowness}
+		speed, enough = need.Compare(&first, &second), need.InTime(&first) && need.InTime(&second)
 	}
 	switch {
+	case speed != 0 && !enough:
+		return speed
 	case a.known != b.known:
 		if a.known {
 			return -1
 		}
 		return 1
+	case speed != 0:
+		return speed
 	case a.fits != b.fits:
 		return cmp.Compare(b.fits, a.fits)
 	case a.fits > 0:
@@ -248,7 +255,7 @@
 			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free, slowness: n.slownessFor(s)})
 		}
 	}
-	need := o.need(s)
+	need := o.need(s, false)
 	slices.SortStableFunc(list, func(a, b queriedWorker) int { return compareQueried(&a, &b, need) })
 	expectedFraction := defaultAllowedFraction
 	if r := o.allowedFractions.of(s.job.spec.Queue); r.count >= minSamples {
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -140,7 +140,7 @@
 func (o *Owner) assignEach(g *group, p *pool, now time.Duration) (reason WaitReason) {
 	s := g.step
 	candidates, usable := o.candidates(s, p, now)
-	need := o.need(s)
+	need := o.need(s, true)
 	assigned := 0
 	for _, t := range g.tasks {
 		switch {
@@ -182,7 +182,7 @@
 // choose selects a worker for t and, if possible, avoids workers on which it failed.
 func (o *Owner) choose(candidates []sched.Candidate, usable []*node, t *task, need sched.Need, now time.Duration) int {
 	if len(t.runs) > 0 {
-		need.Allowed = 0 // a copy is worth only what it gains
+		need = sched.AnyGain // a copy is worth only what it gains
 	}
 	if at := slices.Index(usable, t.failedOn); at >= 0 && t.failedOn.health.onProbation(now) && !t.failedOn.health.retrialDue(now) {
 		candidates = slices.Clone(candidates)
@@ -251,7 +251,7 @@
 		return ReasonReserve
 	}
 	candidates, usable := o.candidates(s, p, now)
-	need := o.need(s)
+	need := o.need(s, true)
 	picks := sched.ChooseAll(candidates, g.tasks[0].demand(), len(g.tasks), need, sched.GangPreference{SameRack: s.spec.RackSensitive})
 	if picks == nil {
 		if s.job.policy.Advice != nil {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -57,6 +57,8 @@
 	observed       int            // tasks whose run time was observed
 	observations   []observation  // of these, those from which nothing was learned yet
 	sweep          int            // last sweep in which the step was checked
+	chain          int            // steps that follow each other from this one on; 0: not counted yet
+	jobChain       int            // the same for the whole job
 	remainingPath  time.Duration  // longest chain of estimated work from this step on
 	waitReason     WaitReason     // why tasks of the step wait
 	waitSince      time.Duration  // since when for this reason
--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -1,11 +1,13 @@
 package cell
 
 import (
+	"slices"
 	"time"
 
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/speed"
+	"turmericspread.org/turmericspread/internal/work"
 )
 
 const (
@@ -141,10 +143,11 @@
 	}
 }
 
-// need returns what the waiting tasks of a step need of the speed of their workers. The
-// estimate and the deadline are corrected by the usual bias of the queue and team: the time
-// that callers allow follows from the work that the job really is.
-func (o *Owner) need(s *step) sched.Need {
+// need returns what the waiting tasks of a step need of the speed of their workers, before or
+// after its placement query. The estimate and the deadline are corrected by the usual bias of
+// the queue and team, and the deadline by the placement queries: the time that callers allow
+// follows from the work that the job really is.
+func (o *Owner) need(s *step, queried bool) sched.Need {
 	j := s.job
 	if s.spec.Estimate <= 0 || s.spec.LongRunning || s.spec.BestEffort {
 		return sched.Need{}
@@ -152,19 +155,44 @@
 	p := o.speedOf(j.policy.Service)
 	bias := p.Bias(j.spec.Queue, j.spec.Team)
 	scale := func(d time.Duration) time.Duration { return time.Duration(bias * float64(d)) }
-	wall := o.WallClock()
+	var query time.Duration
+	if a := j.policy.Advice; a != nil {
+		query = a.Decide + budgetedWorkers*a.Each
+	}
+	if s.chain == 0 {
+		s.chain, s.jobChain = chainLength(j.spec, s.number), chainLength(j.spec, -1)
+	}
+	queries := s.chain
+	if queried {
+		queries--
+	}
 	submitted := max(j.spec.Accepted, j.spec.Due(s.occurrence))
 	budget := o.deadline(j, s.occurrence) - submitted
-	budget = j.policy.Target + scale(budget-j.policy.Target)
+	budget = j.policy.Target + scale(budget-j.policy.Target) + time.Duration(max(j.policy.Stretch, 1)*float64(s.jobChain)*float64(query))
+	left := submitted + budget - o.WallClock()
+	pace := float64(budget-time.Duration(s.jobChain)*(query+startOverhead)) / max(float64(scale(j.criticalPath)), 1)
 	return sched.Allowance{
-		Left:    submitted + budget - wall,
-		Useful:  submitted + sched.ExpiryFactor*budget - wall,
-		Rest:    scale(s.remainingPath - s.spec.Estimate),
-		RunTime: scale(s.spec.Estimate),
-		Margin:  p.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.Fastest(), Overhead: startOverhead,
+		Pace: pace, Left: left, Useful: left + (sched.ExpiryFactor-1)*budget,
+		Rest: scale(s.remainingPath - s.spec.Estimate), RunTime: scale(s.spec.Estimate),
+		Margin: p.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.Fastest(),
+		Overhead: time.Duration(queries)*query + time.Duration(s.chain)*startOverhead,
 	}.Need()
 }
 
+// budgetedWorkers is the number of workers of the one placement query that callers allow time
+// for in each step.
+const budgetedWorkers = 30
+
+// chainLength returns the largest number of steps of a job that follow each other, starting at
+// step first, or at any step if first is negative.
+func chainLength(spec *work.Job, first int) int {
+	counted := work.Job{Steps: slices.Clone(spec.Steps)}
+	for i := range counted.Steps {
+		counted.Steps[i].Estimate = 1
+	}
+	return int(criticalPathFrom(&counted, first))
+}
+
 // countPlacement counts a placement by the speed of the worker.
 func (o *Owner) countPlacement(c *sched.Candidate, need sched.Need) {
 	switch {
--- a/internal/sched/need.go
+++ b/internal/sched/need.go
@@ -40,29 +40,43 @@
 	return cmp.Compare(a.slowness(), b.slowness())
 }
 
+// AnyGain is the need of work that should end as soon as possible.
+var AnyGain = Need{RunTime: 1}
+
 // Allowance describes the time that is left to a job at one of its steps.
 type Allowance struct {
+	Pace     float64       // time that the job was given over the work that it is
 	Left     time.Duration // until the deadline
 	Useful   time.Duration // until the result is useless to its caller
-	Rest     time.Duration // work that follows the step
+	Rest     time.Duration // work that follows the step, on workers of mean speed
 	RunTime  time.Duration // of a task of the step on a worker of mean speed
 	Margin   float64       // factor on RunTime for the slowest task
 	Fastest  float64       // slowness of the fastest workers
-	Overhead time.Duration // time from the choice of the worker to the start
+	Overhead time.Duration // time until the tasks of this step and the following ones have started
 }
 
-// Need returns what the step needs. Work that can no longer be in time may take until its
-// result is useless, so that it leaves fast workers to work that still can be in time.
+// minMargin is the least margin for the slowest task. It covers delays between the steps.
+const minMargin = 1.1
+
+// Need returns what the step needs. The slowest task has to end early enough for the rest of
+// the job to be in time on fast workers. The usual task may use no more than its share of the
+// time left, because the rest can be delayed as well, and of the time of the whole job: an
+// urgent job whose first step has ended early does not have ample time for that. Work that can
+// no longer be in time may take until its result is useless, so that it leaves fast workers to
+// work that still can be.
 func (a Allowance) Need() Need {
-	n := Need{RunTime: time.Duration(float64(a.RunTime) * a.Margin), Allowed: a.Left - a.Rest - a.Overhead}
-	fastest := float64(a.RunTime) * a.Fastest
-	if fastest > float64(n.Allowed) {
-		n.Allowed = a.Useful - a.Rest - a.Overhead
-	}
-	if fastest > float64(n.Allowed) {
-		return Need{} // useless wherever it runs
+	margin := max(a.Margin, minMargin)
+	n := Need{RunTime: time.Duration(float64(a.RunTime) * margin)}
+	rest := time.Duration(float64(a.Rest) * max(1, margin*a.Fastest))
+	fastest := time.Duration(float64(a.RunTime+a.Rest) * a.Fastest)
+	for _, left := range []time.Duration{a.Left - a.Overhead, a.Useful - a.Overhead} {
+		if fastest <= left {
+			pace := min(a.Pace, float64(left)/float64(a.RunTime+a.Rest))
+			n.Allowed = min(left-rest, time.Duration(pace*float64(n.RunTime)))
+			return n
+		}
 	}
-	return n
+	return Need{} // useless wherever it runs
 }
 
 // uniformSpeeds returns the sets of workers that are tried one after the other for tasks that
