speed: correct each run of a step by what the others have corrected already

Cause: all runs of a step on one kind repeated the same correction, so the first steps overshot: a kind 2.4 times as slow as the other counted as 1.22 or 2.9 for some steps, and short jobs were sent there. Change: the innovation of a run is taken after the corrections by the runs before. Measured: TestLearn, row of 16 ends, fails without the change (2.43). Tests of speed, sched and cell pass.

--- a/internal/speed/learn.go
+++ b/internal/speed/learn.go
@@ -53,7 +53,9 @@
 	if len(s.Runs) >= minSiblings {
 		for i, r := range s.Runs {
 			kinds, workers := othersOf(s.Runs, i)
-			q.learnWorker(now, clamp(nominal[i]-median), r.Worker, kinds, workers)
+			// What the runs before have corrected must not be corrected again.
+			innovation := math.Log(float64(r.RunTime)) - r.Worker.estimate() - median
+			q.learnWorker(now, clamp(innovation), r.Worker, kinds, workers)
 		}
 	}
 	m.center()
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -63,6 +63,7 @@
 		tasks    int
 		want     []want
 	}{
+		{"two kinds, 16 ends", thirdSlow, speedOfKind, 2, 8, []want{{0, 1, 2.3}, {1, 0.6, 1}}},
 		{"two kinds, 40 ends", thirdSlow, speedOfKind, 5, 8, []want{{0, 1.5, 2.2}, {1, 0.6, 1}}},
 		{"two kinds, 120 ends", thirdSlow, speedOfKind, 15, 8, []want{{0, 1.5, 2.2}, {1, 0.6, 0.9}}},
 		{"two kinds, later", thirdSlow, speedOfKind, 1000, 8, []want{{0, 1.7, 2.0}, {1, 0.7, 0.8}}},
