--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -8,6 +8,7 @@
 
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/resource"
+	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -192,23 +193,34 @@
 
 // queriedWorker is a worker that a placement query names.
 type queriedWorker struct {
-	node    *node
-	known   bool // known to be allowed
-	fits    int64
-	free    resource.Vector
-	promise resource.Vector // capacity that the step is expected to take there
+	node     *node
+	known    bool // known to be allowed
+	fits     int64
+	slowness float64
+	free     resource.Vector
+	promise  resource.Vector // capacity that the step is expected to take there
 }
 
-// compareQueried orders workers by their use to a step: workers with free capacity
-// first, and among these the ones known to be allowed. Busy workers with more free
-// capacity come before fuller ones.
-func compareQueried(a, b queriedWorker) int {
+// compareQueried orders workers by their use to a step: workers with free capacity first, among
+// these the ones that are fast enough, then the ones known to be allowed, and then the ones of
+// the speed that is left for the step. Busy workers with more free capacity come before fuller
+// ones.
+func compareQueried(a, b *queriedWorker, need sched.Need) int {
+	speed, enough := 0, false
+	if aFits, bFits := a.fits > 0, b.fits > 0; aFits == bFits && a.slowness != b.slowness {
+		first, second := sched.Candidate{Slowness: a.slowness}, sched.Candidate{Slowness: b.slowness}
+		speed, enough = need.Compare(&first, &second), need.InTime(&first) && need.InTime(&second)
+	}
 	switch {
+	case speed != 0 && !enough:
+		return speed
 	case a.known != b.known:
 		if a.known {
 			return -1
 		}
 		return 1
+	case speed != 0:
+		return speed
 	case a.fits != b.fits:
 		return cmp.Compare(b.fits, a.fits)
 	case a.fits > 0:
@@ -240,10 +252,11 @@
 		free := o.freeFor(s, n, now).Sub(n.promised)
 		fits := max(min(max(free.Count(demand), s.reservedTasks(n, now+s.job.policy.Advice.Decide)), int64(n.maxTasks(s, now))), 0)
 		if fits > 0 || !known {
-			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free})
+			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free, slowness: n.slownessFor(s)})
 		}
 	}
-	slices.SortStableFunc(list, compareQueried)
+	need := o.need(s, false)
+	slices.SortStableFunc(list, func(a, b queriedWorker) int { return compareQueried(&a, &b, need) })
 	expectedFraction := defaultAllowedFraction
 	if r := o.allowedFractions.of(s.job.spec.Queue); r.count >= minSamples {
 		expectedFraction = max(r.mean, minAllowedFraction)
