--- a/internal/cell/evacuate_test.go
+++ b/internal/cell/evacuate_test.go
@@ -23,11 +23,12 @@
 	delete(s.evacuated, place)
 }
 
-// running returns how many tasks of a job run, in one data centre or, if place is empty, in all.
+// running returns how many tasks of a job run on workers that respond, in one data centre or, if
+// place is empty, in all.
 func (s *sim) running(job, place string) (count int) {
 	for _, w := range s.workers {
 		for name := range w.runs {
-			if strings.HasPrefix(name, job+".") && (place == "" || w.worker.Place == place) && !w.down {
+			if strings.HasPrefix(name, job+".") && (place == "" || w.worker.Place == place) && !w.down && !w.unreachable {
 				count++
 			}
 		}
@@ -86,23 +87,31 @@
 }
 
 // TestEvacuationInOutage guards against an outage of the store that ends an evacuation, or in
-// which runs are stopped although their tasks could not be recorded elsewhere.
+// which runs are stopped although their tasks could not be recorded elsewhere. Capacity elsewhere
+// becomes free during the outage.
 func TestEvacuationInOutage(t *testing.T) {
 	s := newSim(t, 1, 8)
+	for _, id := range []string{"w04", "w05", "w06", "w07"} {
+		s.workers[id].worker.Labels = []string{"full"}
+	}
 	s.claim()
+	full := newStep(16, time.Second)
+	full.Label = "full"
+	s.submit("full", full)
+	s.jobs["full"].spec.Payload = "4s"
 	s.submit("lasting", newLastingStep(4))
 	s.run(time.Second)
 	assert.Equal(t, s.running("lasting", "place-0"), 4)
+	assert.Equal(t, s.running("full", "place-1"), 16)
 	s.evacuate("place-0")
-	s.run(s.now + 400*time.Millisecond)
+	s.run(2 * time.Second)
 	s.store.down = true
-	s.run(s.now + time.Second) // what was stopped before has ended
-	moved := s.owner.Counters.RunsMoved
-	for range 8 {
-		s.submit(fmt.Sprintf("j%d", s.serial), newStep(4, 500*time.Millisecond))
+	for i := range 10 {
+		s.submit(fmt.Sprintf("j%d", i), newStep(2, 500*time.Millisecond))
 		s.run(s.now + 500*time.Millisecond) // the workers check the starts
 	}
-	assert.Equal(t, s.owner.Counters.RunsMoved, moved)
+	assert.Assert(t, s.running("full", "") == 0 && s.starts > 20, "work must go on elsewhere")
+	assert.Equal(t, s.owner.Counters.RunsMoved, int64(0))
 	s.store.down = false
 	s.run(s.now + 15*time.Second)
 	assert.Equal(t, s.running("lasting", "place-0"), 0)
@@ -117,13 +126,13 @@
 		name                  string
 		tasks, maxUnavailable int
 		full                  int    // workers elsewhere without free capacity
-		crash                 string // worker elsewhere that is down during the evacuation
+		cut                   string // worker elsewhere that does not respond during the evacuation
 		remain                int    // tasks that stay
 	}{
 		{"one at a time", 6, 0, 0, "", 0},
 		{"two at a time", 6, 2, 0, "", 0},
 		{"too little capacity", 6, 1, 4, "", 4},
-		{"beside a worker that is down", 7, 1, 0, "w06", 1},
+		{"beside a worker that does not respond", 7, 1, 0, "w06", 1},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := newSim(t, 1, 12)
@@ -142,8 +151,8 @@
 			s.run(2 * time.Second)
 			assert.Equal(t, s.running("lasting", "place-0"), 6)
 			checkFrom := s.now
-			if tc.crash != "" {
-				s.workers[tc.crash].crash(20 * time.Second)
+			if tc.cut != "" {
+				s.workers[tc.cut].disconnect(20 * time.Second)
 				checkFrom += 3 * time.Second // until then the owner may not know
 			}
 			s.evacuate("place-0")
--- a/internal/sched/evacuation_test.go
+++ b/internal/sched/evacuation_test.go
@@ -63,7 +63,7 @@
 		{"about to end", []MoveStep{saving(long(3*s, 0))}, 0, Evacuation{}, nil},
 		{"progress is not saved", []MoveStep{saving(MoveRun{Remaining: 60 * s})}, 0, Evacuation{}, nil},
 		{"progress was saved long ago", []MoveStep{saving(long(20*s, 9*s))}, 0, Evacuation{}, nil},
-		{"newest progress first", []MoveStep{saving(long(20*s, 900*time.Millisecond), long(20*s, 800*time.Millisecond))}, 0,
+		{"newest progress first", []MoveStep{saving(long(20*s, 950*time.Millisecond), long(20*s, 900*time.Millisecond))}, 0,
 			Evacuation{MaxMoves: 1}, []Move{{0, 1}}},
 		{"most benefit first", []MoveStep{saving(long(20*s, 0), long(60*s, 0))}, 0, Evacuation{MaxMoves: 1}, []Move{{0, 1}}},
 		{"capacity kept for urgent work", []MoveStep{saving(long(60*s, 0), long(60*s, 0))}, 2, Evacuation{Keep: core(1)}, []Move{{0, 0}}},
