cell: consider other steps for a move with each decision

With more than 40 steps in an evacuated data centre only the oldest were considered, and if these had no place elsewhere the others were never moved. The decisions now take turns. A step with a task that does not serve in the data centre is no longer left out.

Measured: go test -p 2 ./internal/cell ./internal/sched ./internal/host ./internal/event passes; without the turns TestManyStepsDoNotBlockMoves fails.

--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -119,9 +119,9 @@
 		!r.task.done && !s.job.finished() && n.listed && n.responded && n.missedRenewals == 0 && !n.worker.Draining
 }
 
-// stepsToMove returns the steps with movable runs in evacuated data centres, by service and
-// with the oldest job first. Steps of which no task may be interrupted now, or whose team is at
-// its maximum so that nothing of them would start again, are left out.
+// stepsToMove returns steps with movable runs in evacuated data centres, by service. Steps whose
+// team is above its maximum are left out, because nothing of them would start again. If there
+// are many, each call returns others: those of the first jobs may have no place elsewhere.
 func (o *Owner) stepsToMove() (steps map[string][]*step) {
 	found := map[*step]bool{}
 	for _, n := range o.sortedNodes {
@@ -134,19 +134,24 @@
 			}
 		}
 	}
-	steps = map[string][]*step{}
+	var list []*step
 	for _, j := range o.active {
 		for _, s := range j.steps {
-			service := j.policy.Service
-			if !found[s] || !o.withinMaximum(s, 0) || len(steps[service]) >= maxMoveSteps {
-				continue
-			}
-			if away, _ := s.away(); s.spec.LongRunning && away >= max(s.spec.MaxUnavailable, 1) {
-				continue
+			if found[s] && o.withinMaximum(s, 0) {
+				list = append(list, s)
 			}
-			steps[service] = append(steps[service], s)
 		}
 	}
+	if len(list) > maxMoveSteps {
+		first := o.moveTurn % len(list)
+		list = slices.Concat(list[first:], list[:first])[:maxMoveSteps]
+		o.moveTurn += maxMoveSteps
+	}
+	steps = map[string][]*step{}
+	for _, s := range list {
+		service := s.job.policy.Service
+		steps[service] = append(steps[service], s)
+	}
 	return steps
 }
 
--- a/internal/cell/evacuate_test.go
+++ b/internal/cell/evacuate_test.go
@@ -190,6 +190,29 @@
 	s.assertState("plain", work.StateCompleted)
 }
 
+// TestManyStepsDoNotBlockMoves guards against steps that have no place elsewhere and keep an
+// evacuation from considering others.
+func TestManyStepsDoNotBlockMoves(t *testing.T) {
+	s := newSim(t, 1, 8)
+	for _, id := range []string{"w00", "w01", "w02", "w03"} {
+		s.workers[id].worker.Labels = []string{"here"}
+	}
+	s.claim()
+	for i := range maxMoveSteps + 5 {
+		step := newLastingStep(1)
+		step.Demand.MilliCores, step.Demand.MemoryMB, step.Label = 50, 50, "here"
+		s.submit(fmt.Sprintf("here%d", i), step)
+	}
+	s.run(time.Second)
+	s.submit("free", newLastingStep(1))
+	s.run(2 * time.Second)
+	assert.Equal(t, s.running("free", "place-0"), 1)
+	s.evacuate("place-0")
+	s.run(8 * time.Second)
+	assert.Equal(t, s.running("free", "place-1"), 1)
+	assert.Equal(t, s.owner.Counters.RunsMoved, int64(1))
+}
+
 // TestUsedAgainAfterEvacuation guards against workers that stay idle after the request is gone.
 func TestUsedAgainAfterEvacuation(t *testing.T) {
 	s := newSim(t, 1, 4)
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -117,6 +117,7 @@
 	evacuated            map[string]bool            // data centres whose evacuation is requested
 	reportedEvacuations  map[string]bool            // those of them that were logged
 	nextMoves            time.Duration              // when runs may next be moved out of them
+	moveTurn             int                        // steps that were considered for moves, if there are many
 	removedFences        map[string]int64           // increments of the fencing token of removed workers, which may return
 	usage                map[string]resource.Vector // resources that runs occupy, by team
 	unresolved           resource.Vector            // capacity that unresolved runs of the predecessor may use
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -178,7 +178,9 @@
 		return nil, err
 	}
 	for i := range items {
-		places = append(places, strings.TrimPrefix(items[i].Key, prefix))
+		if place := strings.TrimPrefix(items[i].Key, prefix); place != "" {
+			places = append(places, place)
+		}
 	}
 	return places, nil
 }
