cell: late work leaves fast workers, with tests of equal workers and stragglers

Cause: work that was late kept the pace of its budget, so it went to fast workers although it could no longer be in time. Whether it could was judged by kinds only, not by single workers. One or two late runs of a step counted as a step without siblings.

--- a/internal/cell/advice.go
+++ b/internal/cell/advice.go
@@ -255,7 +255,7 @@
 			list = append(list, queriedWorker{node: n, known: known, fits: fits, free: free, slowness: n.slownessFor(s)})
 		}
 	}
-	need := o.need(s, false)
+	need := o.need(s, p, false)
 	slices.SortStableFunc(list, func(a, b queriedWorker) int { return compareQueried(&a, &b, need) })
 	expectedFraction := defaultAllowedFraction
 	if r := o.allowedFractions.of(s.job.spec.Queue); r.count >= minSamples {
--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -140,7 +140,7 @@
 func (o *Owner) assignEach(g *group, p *pool, now time.Duration) (reason WaitReason) {
 	s := g.step
 	candidates, usable := o.candidates(s, p, now)
-	need := o.need(s, true)
+	need := o.need(s, p, true)
 	assigned := 0
 	for _, t := range g.tasks {
 		switch {
@@ -251,7 +251,7 @@
 		return ReasonReserve
 	}
 	candidates, usable := o.candidates(s, p, now)
-	need := o.need(s, true)
+	need := o.need(s, p, true)
 	picks := sched.ChooseAll(candidates, g.tasks[0].demand(), len(g.tasks), need, sched.GangPreference{SameRack: s.spec.RackSensitive})
 	if picks == nil {
 		if s.job.policy.Advice != nil {
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -56,6 +56,7 @@
 	lastTaskDoneAt time.Duration  // time of day at which a task was last done
 	observed       int            // tasks whose run time was observed
 	observations   []observation  // of these, those from which nothing was learned yet
+	speedsLearned  bool           // something was learned from earlier ones
 	sweep          int            // last sweep in which the step was checked
 	chain          int            // steps that follow each other from this one on; 0: not counted yet
 	jobChain       int            // the same for the whole job
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -27,6 +27,7 @@
 	free        resource.Vector
 	total       resource.Vector
 	maxFree     resource.Vector // largest free capacity of any worker, per resource
+	fastest     float64         // slowness of the fastest worker, at most 1
 	urgent      bool            // a queue of the highest priority uses the pool
 }
 
@@ -189,7 +190,7 @@
 		}
 		p := pools[n.worker.Pool]
 		if p == nil {
-			p = &pool{}
+			p = &pool{fastest: 1}
 			pools[n.worker.Pool] = p
 		}
 		free := n.free()
@@ -199,6 +200,9 @@
 			continue
 		}
 		p.nodes = append(p.nodes, n)
+		if n.speed != nil {
+			p.fastest = min(p.fastest, n.speed.ClassSlowness())
+		}
 		p.free = p.free.Add(free)
 		if free.MilliCores > 0 && free.MemoryMB > 0 {
 			p.notFull = append(p.notFull, n)
--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -108,8 +108,12 @@
 	}
 }
 
-// learnSpeeds learns from the observed runs of a step.
+// learnSpeeds learns from the observed runs of a step. One or two runs are kept until they have
+// siblings. What comes after the first time tells nothing new about the estimate.
 func (o *Owner) learnSpeeds(s *step, now time.Duration) {
+	if len(s.observations) < speed.MinSiblings && s.observed < len(s.tasks) {
+		return
+	}
 	pool := s.job.policy.Service
 	sample := speed.Step{Queue: s.job.spec.Queue, Team: s.job.spec.Team, Estimate: s.spec.Estimate}
 	for _, seen := range s.observations {
@@ -118,7 +122,10 @@
 			sample.Runs = append(sample.Runs, speed.Run{Worker: n.speed, RunTime: seen.runTime})
 		}
 	}
-	s.observations = s.observations[:0]
+	if s.speedsLearned {
+		sample.Estimate = 0
+	}
+	s.observations, s.speedsLearned = s.observations[:0], true
 	p := o.speedOf(pool)
 	p.Learn(now, sample)
 	o.logSpeeds(pool, p, now)
@@ -147,13 +154,13 @@
 // after its placement query. The estimate and the deadline are corrected by the usual bias of
 // the queue and team, and the deadline by the placement queries: the time that callers allow
 // follows from the work that the job really is.
-func (o *Owner) need(s *step, queried bool) sched.Need {
+func (o *Owner) need(s *step, p *pool, queried bool) sched.Need {
 	j := s.job
 	if s.spec.Estimate <= 0 || s.spec.LongRunning || s.spec.BestEffort {
 		return sched.Need{}
 	}
-	p := o.speedOf(j.policy.Service)
-	bias := p.Bias(j.spec.Queue, j.spec.Team)
+	model := o.speedOf(j.policy.Service)
+	bias := model.Bias(j.spec.Queue, j.spec.Team)
 	scale := func(d time.Duration) time.Duration { return time.Duration(bias * float64(d)) }
 	var query time.Duration
 	if a := j.policy.Advice; a != nil {
@@ -174,7 +181,7 @@
 	return sched.Allowance{
 		Pace: pace, Left: left, Useful: left + (sched.ExpiryFactor-1)*budget,
 		Rest: scale(s.remainingPath - s.spec.Estimate), RunTime: scale(s.spec.Estimate),
-		Margin: p.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.Fastest(),
+		Margin: model.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.fastest,
 		Overhead: time.Duration(queries)*query + time.Duration(s.chain)*startOverhead,
 	}.Need()
 }
--- a/internal/cell/speed_test.go
+++ b/internal/cell/speed_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,3 +98,62 @@
 		})
 	}
 }
+
+// TestEqualWorkersArePlacedAsBefore guards against placements that follow noise: with equal
+// workers of two kinds, every task starts where it would without any learning.
+func TestEqualWorkersArePlacedAsBefore(t *testing.T) {
+	starts := func(seed uint64, advised, learning bool) (list []string) {
+		s := unevenCell(t, seed, advised)
+		for _, w := range s.workers {
+			w.slowdown = 0
+		}
+		var forget func()
+		forget = func() {
+			for _, n := range s.owner.sortedNodes {
+				n.speed = nil
+			}
+			s.after(time.Millisecond, forget)
+		}
+		if !learning {
+			forget()
+		}
+		unevenLoad(s)
+		return slices.DeleteFunc(s.trace, func(line string) bool { return !strings.Contains(line, " starts ") })
+	}
+	for seed := range uint64(3) {
+		for _, advised := range []bool{false, true} {
+			t.Run(fmt.Sprintf("seed=%d/advised=%t", seed, advised), func(t *testing.T) {
+				t.Parallel()
+				learned, plain := starts(seed, advised, true), starts(seed, advised, false)
+				assert.Assert(t, len(plain) > 1000, "%d", len(plain))
+				assert.DeepEqual(t, learned, plain)
+			})
+		}
+	}
+}
+
+// TestStragglersOnSlowKinds guards against healthy runs that are stopped because their kind of
+// worker is slow, and checks that a worker is found that is slower than its kind.
+func TestStragglersOnSlowKinds(t *testing.T) {
+	s := unevenCell(t, 1, false)
+	round := func(id string) (stragglers int64) {
+		before := s.owner.Counters.Stragglers
+		job := &work.Job{
+			ID: id, Team: "team", Queue: "long", Steps: []work.Step{newStep(150, 3*time.Second)}, Accepted: s.now, Payload: "3s",
+			Policy: s.tables.Policy("long", "team", nil),
+		}
+		s.jobs[id] = &simJob{spec: job}
+		s.owner.call(func() { s.owner.Accept(job) })
+		s.run(s.now + 12*time.Second)
+		s.assertState(id, work.StateCompleted)
+		return s.owner.Counters.Stragglers - before
+	}
+	round("learn")
+	learned := s.owner.nodes["w00"].slowness()
+	assert.Assert(t, learned > 1.6 && learned < 2, "%.2f", learned)
+	for i := range 3 {
+		assert.Equal(t, round(fmt.Sprint("healthy-", i)), int64(0))
+	}
+	s.workers["w00"].slowdown *= 5
+	assert.Assert(t, round("degraded") > 0)
+}
--- a/internal/sched/need.go
+++ b/internal/sched/need.go
@@ -69,14 +69,16 @@
 	n := Need{RunTime: time.Duration(float64(a.RunTime) * margin)}
 	rest := time.Duration(float64(a.Rest) * max(1, margin*a.Fastest))
 	fastest := time.Duration(float64(a.RunTime+a.Rest) * a.Fastest)
-	for _, left := range []time.Duration{a.Left - a.Overhead, a.Useful - a.Overhead} {
-		if fastest <= left {
-			pace := min(a.Pace, float64(left)/float64(a.RunTime+a.Rest))
-			n.Allowed = min(left-rest, time.Duration(pace*float64(n.RunTime)))
-			return n
-		}
+	left, pace := a.Left-a.Overhead, a.Pace
+	if fastest > left {
+		left, pace = a.Useful-a.Overhead, ExpiryFactor*a.Pace
+	}
+	if fastest > left {
+		return Need{} // useless wherever it runs
 	}
-	return Need{} // useless wherever it runs
+	pace = min(pace, float64(left)/float64(a.RunTime+a.Rest))
+	n.Allowed = min(left-rest, time.Duration(pace*float64(n.RunTime)))
+	return n
 }
 
 // uniformSpeeds returns the sets of workers that are tried one after the other for tasks that
--- a/internal/speed/learn.go
+++ b/internal/speed/learn.go
@@ -22,8 +22,8 @@
 }
 
 const (
-	// minSiblings is the number of runs of one step that are compared with each other.
-	minSiblings = 3
+	// MinSiblings is the number of runs of one step that are compared with each other.
+	MinSiblings = 3
 	// maxInnovation bounds the difference between a run and its prediction. Workers also
 	// become slow for some seconds, which is no lasting property.
 	maxInnovation = 1
@@ -50,7 +50,7 @@
 	if s.Estimate > 0 {
 		q.learnBias(now, median-math.Log(float64(s.Estimate)), &s)
 	}
-	if len(s.Runs) >= minSiblings {
+	if len(s.Runs) >= MinSiblings {
 		for i, r := range s.Runs {
 			kinds, workers := othersOf(s.Runs, i)
 			// What the runs before have corrected must not be corrected again.
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -141,17 +141,6 @@
 // Restart forgets what was learned of the former incarnation of the worker.
 func (w *Worker) Restart() { w.factor, w.slowness, w.log = factor{}, 1, 0 }
 
-// Fastest returns the slowness of the fastest kind that has workers.
-func (m *Model) Fastest() (slowness float64) {
-	slowness = 1
-	for _, k := range m.kinds {
-		if k.workers > 0 {
-			slowness = min(slowness, k.slowness)
-		}
-	}
-	return slowness
-}
-
 // queue returns what is known of a queue.
 func (m *Model) queue(name string) *Queue {
 	q := m.queues[name]
