cell: keep fast workers free only for jobs that need them

Cause: work with ample time went to the slowest workers also in cells where every job has time for them, which uses more capacity and makes queries name more workers. Change: slow workers are preferred while jobs are seen whose whole budget is too short for the slowest tenth of the workers. Bounds of the speeds of a pool without outliers. Tests of cell, sched, speed, event and host pass.

--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -6,6 +6,7 @@
 
 	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/sched"
+	"turmericspread.org/turmericspread/internal/speed"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -27,7 +28,7 @@
 	free        resource.Vector
 	total       resource.Vector
 	maxFree     resource.Vector // largest free capacity of any worker, per resource
-	fastest     float64         // slowness of the fastest worker, at most 1
+	speeds      speed.Range     // of nodes
 	urgent      bool            // a queue of the highest priority uses the pool
 }
 
@@ -190,7 +191,7 @@
 		}
 		p := pools[n.worker.Pool]
 		if p == nil {
-			p = &pool{fastest: 1}
+			p = &pool{}
 			pools[n.worker.Pool] = p
 		}
 		free := n.free()
@@ -200,9 +201,7 @@
 			continue
 		}
 		p.nodes = append(p.nodes, n)
-		if n.speed != nil {
-			p.fastest = min(p.fastest, n.speed.ClassSlowness())
-		}
+		p.speeds.Add(n.speed)
 		p.free = p.free.Add(free)
 		if free.MilliCores > 0 && free.MemoryMB > 0 {
 			p.notFull = append(p.notFull, n)
--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -31,6 +31,8 @@
 	*speed.Model
 	logged   map[*speed.Kind]float64 // slowness when it was last logged
 	loggedAt time.Duration
+	// contestedUntil is until when fast workers are kept free for jobs that need them.
+	contestedUntil time.Duration
 }
 
 // speedOf returns what is known of the workers of a pool.
@@ -156,10 +158,10 @@
 // follows from the work that the job really is.
 func (o *Owner) need(s *step, p *pool, queried bool) sched.Need {
 	j := s.job
+	model, now := o.speedOf(j.policy.Service), o.Now()
 	if s.spec.Estimate <= 0 || s.spec.LongRunning || s.spec.BestEffort {
-		return sched.Need{}
+		return sched.Need{KeepFast: now < model.contestedUntil}
 	}
-	model := o.speedOf(j.policy.Service)
 	bias := model.Bias(j.spec.Queue, j.spec.Team)
 	scale := func(d time.Duration) time.Duration { return time.Duration(bias * float64(d)) }
 	var query time.Duration
@@ -178,14 +180,25 @@
 	budget = j.policy.Target + scale(budget-j.policy.Target) + time.Duration(max(j.policy.Stretch, 1)*float64(s.jobChain)*float64(query))
 	left := submitted + budget - o.WallClock()
 	pace := float64(budget-time.Duration(s.jobChain)*(query+startOverhead)) / max(float64(scale(j.criticalPath)), 1)
-	return sched.Allowance{
+	fastest, slowest := p.speeds.Bounds()
+	if pace < slowest*sched.MinMargin {
+		model.contestedUntil = now + contestedTime
+	}
+	need := sched.Allowance{
 		Pace: pace, Left: left, Useful: left + (sched.ExpiryFactor-1)*budget,
 		Rest: scale(s.remainingPath - s.spec.Estimate), RunTime: scale(s.spec.Estimate),
-		Margin: model.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.fastest,
+		Margin: model.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: fastest,
 		Overhead: time.Duration(queries)*query + time.Duration(s.chain)*startOverhead,
 	}.Need()
+	need.KeepFast = now < model.contestedUntil
+	return need
 }
 
+// contestedTime is how long fast workers are kept free after a step of a job whose whole budget
+// is too short for the slowest workers. Without such jobs, work that has time would only use more
+// capacity on slow workers.
+const contestedTime = 30 * time.Second
+
 // budgetedWorkers is the number of workers of the one placement query that callers allow time
 // for in each step.
 const budgetedWorkers = 30
--- a/internal/sched/need.go
+++ b/internal/sched/need.go
@@ -11,6 +11,9 @@
 type Need struct {
 	RunTime time.Duration // of the slowest task on a worker of mean speed
 	Allowed time.Duration // time within which the task should end
+	// KeepFast means that other work needs fast workers, so that the slowest of those on which
+	// the task ends in time are preferred.
+	KeepFast bool
 }
 
 // InTime reports whether the slowest task would end in the allowed time.
@@ -20,9 +23,8 @@
 func (c *Candidate) slowness() float64 { return cmp.Or(c.Slowness, 1) * (1 + c.Penalty) }
 
 // Compare orders workers by their speed. The ones on which the work ends in time come first,
-// the slowest of them before the others: the fast ones stay free for work that needs them. The
-// rest follows, the fastest first. Between workers of the same lasting speed only a
-// difference in time counts.
+// with KeepFast the slowest of them before the others. The rest follows, the fastest first.
+// Between workers of the same lasting speed only a difference in time counts.
 //
 // It is for cells in which a third of the workers take more than twice as long as the others:
 // urgent jobs with a task on one of these are late, and long jobs have the time for them.
@@ -34,6 +36,8 @@
 	switch {
 	case inTime != n.InTime(b):
 		return compareBool(!inTime, inTime)
+	case inTime && !n.KeepFast:
+		return 0
 	case inTime:
 		return cmp.Compare(cmp.Or(b.Slowness, 1), cmp.Or(a.Slowness, 1))
 	}
@@ -55,8 +59,8 @@
 	Overhead time.Duration // time until the tasks of this step and the following ones have started
 }
 
-// minMargin is the least margin for the slowest task. It covers delays between the steps.
-const minMargin = 1.1
+// MinMargin is the least margin for the slowest task. It covers delays between the steps.
+const MinMargin = 1.1
 
 // Need returns what the step needs. The slowest task has to end early enough for the rest of
 // the job to be in time on fast workers. The usual task may use no more than its share of the
@@ -65,7 +69,7 @@
 // no longer be in time may take until its result is useless, so that it leaves fast workers to
 // work that still can be.
 func (a Allowance) Need() Need {
-	margin := max(a.Margin, minMargin)
+	margin := max(a.Margin, MinMargin)
 	n := Need{RunTime: time.Duration(float64(a.RunTime) * margin)}
 	rest := time.Duration(float64(a.Rest) * max(1, margin*a.Fastest))
 	fastest := time.Duration(float64(a.RunTime+a.Rest) * a.Fastest)
@@ -82,8 +86,8 @@
 }
 
 // uniformSpeeds returns the sets of workers that are tried one after the other for tasks that
-// wait for each other: workers of one speed that are in time, the slowest first, and then all
-// workers up to one speed, the fastest first.
+// wait for each other: with KeepFast workers of one speed that are in time, the slowest first,
+// and then all workers up to one speed, the fastest first.
 func (n Need) uniformSpeeds(candidates []Candidate) (sets []func(*Candidate) bool) {
 	var speeds []float64
 	for i := range candidates {
@@ -93,7 +97,7 @@
 	}
 	slices.Sort(speeds)
 	for _, s := range slices.Backward(speeds) {
-		if n.InTime(&Candidate{Slowness: s}) && len(speeds) > 1 {
+		if n.KeepFast && n.InTime(&Candidate{Slowness: s}) {
 			sets = append(sets, func(c *Candidate) bool { return cmp.Or(c.Slowness, 1) == s })
 		}
 	}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -79,10 +79,46 @@
 	return list
 }()
 
+// class returns the index of the class to which the worker belongs.
+func (w *Worker) class() int {
+	return int(min(max(math.Round((w.kind.log+w.log)/classWidth), -maxClass), maxClass)) + maxClass
+}
+
 // ClassSlowness returns the slowness of the class to which the worker belongs. It is the same
 // for all workers that differ little.
-func (w *Worker) ClassSlowness() float64 {
-	return classSlowness[int(min(max(math.Round((w.kind.log+w.log)/classWidth), -maxClass), maxClass))+maxClass]
+func (w *Worker) ClassSlowness() float64 { return classSlowness[w.class()] }
+
+// Range collects the classes of a set of workers.
+type Range struct {
+	counts [2*maxClass + 1]int
+	total  int
+}
+
+// Add adds a worker. One that is not known counts as a worker of mean speed.
+func (r *Range) Add(w *Worker) {
+	class := maxClass
+	if w != nil {
+		class = w.class()
+	}
+	r.counts[class]++
+	r.total++
+}
+
+// outlierFraction is the fraction of the workers that does not decide about a Range. A few
+// workers cannot be relied on, and their factors are less certain than that of a kind.
+const outlierFraction = 0.1
+
+// Bounds returns the slowness of the fastest and of the slowest workers, without outliers.
+func (r *Range) Bounds() (fastest, slowest float64) {
+	outliers := int(outlierFraction * float64(r.total))
+	low, high := 0, len(r.counts)-1
+	for left := outliers; low < maxClass && r.counts[low] <= left; low++ {
+		left -= r.counts[low]
+	}
+	for left := outliers; high > maxClass && r.counts[high] <= left; high-- {
+		left -= r.counts[high]
+	}
+	return classSlowness[low], classSlowness[high]
 }
 
 // estimate returns the best estimate of the logarithm, also if it is not certain.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -154,6 +154,37 @@
 	assert.Assert(t, best >= 15 && classes[fastest] >= 5, "classes of the 20 fast workers: %v", classes)
 }
 
+// TestRange checks that single workers do not decide how fast a pool is.
+func TestRange(t *testing.T) {
+	m := New()
+	kinds := map[float64]*Worker{0.7: m.AddWorker("fast"), 1: m.AddWorker(""), 1.8: m.AddWorker("slow"), 4: m.AddWorker("broken")}
+	for slowness, w := range kinds {
+		w.kind.log = math.Log(slowness)
+	}
+	for _, test := range []struct {
+		name                      string
+		fast, mean, slow, broken  int
+		fastest, slowest, epsilon float64
+	}{
+		{"none", 0, 0, 0, 0, 1, 1, 0},
+		{"equal", 0, 9, 0, 0, 1, 1, 0},
+		{"a third is slow", 20, 0, 10, 0, 0.7, 1.8, 0.1},
+		{"outliers", 2, 20, 0, 2, 1, 1, 0},
+		{"outliers beyond a kind", 2, 20, 10, 2, 1, 1.8, 0.1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var r Range
+			for slowness, count := range map[float64]int{0.7: test.fast, 1: test.mean, 1.8: test.slow, 4: test.broken} {
+				for range count {
+					r.Add(kinds[slowness])
+				}
+			}
+			fastest, slowest := r.Bounds()
+			assert.Assert(t, math.Abs(fastest-test.fastest) <= test.epsilon && math.Abs(slowest-test.slowest) <= test.epsilon, "%v %v", fastest, slowest)
+		})
+	}
+}
+
 // TestBias checks the bias of the estimates, and that the margin for the slowest task follows
 // from how much the tasks differ.
 func TestBias(t *testing.T) {
