--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -6,6 +6,7 @@
 
 	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/sched"
+	"turmericspread.org/turmericspread/internal/speed"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -27,6 +28,7 @@
 	free        resource.Vector
 	total       resource.Vector
 	maxFree     resource.Vector // largest free capacity of any worker, per resource
+	speeds      speed.Range     // of nodes
 	urgent      bool            // a queue of the highest priority uses the pool
 }
 
@@ -199,6 +201,7 @@
 			continue
 		}
 		p.nodes = append(p.nodes, n)
+		p.speeds.Add(n.speed)
 		p.free = p.free.Add(free)
 		if free.MilliCores > 0 && free.MemoryMB > 0 {
 			p.notFull = append(p.notFull, n)
--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -31,6 +31,8 @@
 	*speed.Model
 	logged   map[*speed.Kind]float64 // slowness when it was last logged
 	loggedAt time.Duration
+	// contestedUntil is until when fast workers are kept free for jobs that need them.
+	contestedUntil time.Duration
 }
 
 // speedOf returns what is known of the workers of a pool.
@@ -108,8 +110,12 @@
 	}
 }
 
-// learnSpeeds learns from the observed runs of a step.
+// learnSpeeds learns from the observed runs of a step. One or two runs are kept until they have
+// siblings. What comes after the first time tells nothing new about the estimate.
 func (o *Owner) learnSpeeds(s *step, now time.Duration) {
+	if len(s.observations) < speed.MinSiblings && s.observed < len(s.tasks) {
+		return
+	}
 	pool := s.job.policy.Service
 	sample := speed.Step{Queue: s.job.spec.Queue, Team: s.job.spec.Team, Estimate: s.spec.Estimate}
 	for _, seen := range s.observations {
@@ -118,7 +124,10 @@
 			sample.Runs = append(sample.Runs, speed.Run{Worker: n.speed, RunTime: seen.runTime})
 		}
 	}
-	s.observations = s.observations[:0]
+	if s.speedsLearned {
+		sample.Estimate = 0
+	}
+	s.observations, s.speedsLearned = s.observations[:0], true
 	p := o.speedOf(pool)
 	p.Learn(now, sample)
 	o.logSpeeds(pool, p, now)
@@ -147,13 +156,13 @@
 // after its placement query. The estimate and the deadline are corrected by the usual bias of
 // the queue and team, and the deadline by the placement queries: the time that callers allow
 // follows from the work that the job really is.
-func (o *Owner) need(s *step, queried bool) sched.Need {
+func (o *Owner) need(s *step, p *pool, queried bool) sched.Need {
 	j := s.job
+	model, now := o.speedOf(j.policy.Service), o.Now()
 	if s.spec.Estimate <= 0 || s.spec.LongRunning || s.spec.BestEffort {
-		return sched.Need{}
+		return sched.Need{KeepFast: now < model.contestedUntil}
 	}
-	p := o.speedOf(j.policy.Service)
-	bias := p.Bias(j.spec.Queue, j.spec.Team)
+	bias := model.Bias(j.spec.Queue, j.spec.Team)
 	scale := func(d time.Duration) time.Duration { return time.Duration(bias * float64(d)) }
 	var query time.Duration
 	if a := j.policy.Advice; a != nil {
@@ -171,14 +180,25 @@
 	budget = j.policy.Target + scale(budget-j.policy.Target) + time.Duration(max(j.policy.Stretch, 1)*float64(s.jobChain)*float64(query))
 	left := submitted + budget - o.WallClock()
 	pace := float64(budget-time.Duration(s.jobChain)*(query+startOverhead)) / max(float64(scale(j.criticalPath)), 1)
-	return sched.Allowance{
+	fastest, slowest := p.speeds.Bounds()
+	if pace < slowest*sched.MinMargin {
+		model.contestedUntil = now + contestedTime
+	}
+	need := sched.Allowance{
 		Pace: pace, Left: left, Useful: left + (sched.ExpiryFactor-1)*budget,
 		Rest: scale(s.remainingPath - s.spec.Estimate), RunTime: scale(s.spec.Estimate),
-		Margin: p.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: p.Fastest(),
+		Margin: model.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: fastest,
 		Overhead: time.Duration(queries)*query + time.Duration(s.chain)*startOverhead,
 	}.Need()
+	need.KeepFast = now < model.contestedUntil
+	return need
 }
 
+// contestedTime is how long fast workers are kept free after a step of a job whose whole budget
+// is too short for the slowest workers. Without such jobs, work that has time would only use more
+// capacity on slow workers.
+const contestedTime = 30 * time.Second
+
 // budgetedWorkers is the number of workers of the one placement query that callers allow time
 // for in each step.
 const budgetedWorkers = 30
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -135,24 +135,54 @@
 	assert.Equal(t, c.workers[29].Slowness(), 1.0)
 }
 
-// TestNoHerd guards against all urgent work on the worker that seems fastest: workers of one
-// kind are equal for the choice, although their factors differ a little.
+// TestNoHerd guards against all urgent work on the worker that seems fastest: workers that differ
+// little are equal for the choice, although each has a factor of its own.
 func TestNoHerd(t *testing.T) {
-	c := newCell(4, 30, thirdSlow, func(i int) float64 { return speedOfKind(i) * (1 + 0.05*float64(i%4)) })
+	c := newCell(4, 60, oneKind, func(i int) float64 { return []float64{0.8, 1, 1.25}[i%3] })
 	for range 1000 {
 		c.runStep(8)
 	}
 	classes := map[float64]int{}
+	fastest, best := 1.0, 0
 	for i, w := range c.workers {
-		if i%3 != 0 {
+		if i%3 == 0 {
 			classes[w.ClassSlowness()]++
+			best = max(best, classes[w.ClassSlowness()])
+			fastest = min(fastest, w.ClassSlowness())
 		}
 	}
-	best := 0
-	for _, count := range classes {
-		best = max(best, count)
+	assert.Assert(t, best >= 15 && classes[fastest] >= 5, "classes of the 20 fast workers: %v", classes)
+}
+
+// TestRange checks that single workers do not decide how fast a pool is.
+func TestRange(t *testing.T) {
+	m := New()
+	kinds := map[float64]*Worker{0.7: m.AddWorker("fast"), 1: m.AddWorker(""), 1.8: m.AddWorker("slow"), 4: m.AddWorker("broken")}
+	for slowness, w := range kinds {
+		w.kind.log = math.Log(slowness)
+	}
+	for _, test := range []struct {
+		name                      string
+		fast, mean, slow, broken  int
+		fastest, slowest, epsilon float64
+	}{
+		{"none", 0, 0, 0, 0, 1, 1, 0},
+		{"equal", 0, 9, 0, 0, 1, 1, 0},
+		{"a third is slow", 20, 0, 10, 0, 0.7, 1.8, 0.1},
+		{"outliers", 2, 20, 0, 2, 1, 1, 0},
+		{"outliers beyond a kind", 2, 20, 10, 2, 1, 1.8, 0.1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var r Range
+			for slowness, count := range map[float64]int{0.7: test.fast, 1: test.mean, 1.8: test.slow, 4: test.broken} {
+				for range count {
+					r.Add(kinds[slowness])
+				}
+			}
+			fastest, slowest := r.Bounds()
+			assert.Assert(t, math.Abs(fastest-test.fastest) <= test.epsilon && math.Abs(slowest-test.slowest) <= test.epsilon, "%v %v", fastest, slowest)
+		})
 	}
-	assert.Assert(t, best >= 15, "classes of the 20 fast workers: %v", classes)
 }
 
 // TestBias checks the bias of the estimates, and that the margin for the slowest task follows
