speed: bound the kinds that are kept, log one line at a time

Cause: labels that are unique for each worker would add a kind for each, and kinds that change together were logged together.

--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -29,7 +30,7 @@
 // poolSpeed is what is learned of the workers of a pool.
 type poolSpeed struct {
 	*speed.Model
-	logged   map[*speed.Kind]float64 // slowness when it was last logged
+	logged   map[string]float64 // slowness of each kind when it was last logged
 	loggedAt time.Duration
 	// contestedUntil is until when fast workers are kept free for jobs that need them.
 	contestedUntil time.Duration
@@ -39,7 +40,7 @@
 func (o *Owner) speedOf(pool string) *poolSpeed {
 	p := o.speeds[pool]
 	if p == nil {
-		p = &poolSpeed{Model: speed.New(), logged: map[*speed.Kind]float64{}}
+		p = &poolSpeed{Model: speed.New(), logged: map[string]float64{}}
 		o.speeds[pool] = p
 	}
 	return p
@@ -133,22 +134,20 @@
 	o.logSpeeds(pool, p, now)
 }
 
-// logSpeeds logs kinds of workers whose slowness has changed notably.
+// logSpeeds logs a kind of workers whose slowness has changed notably.
 func (o *Owner) logSpeeds(pool string, p *poolSpeed, now time.Duration) {
 	if p.loggedAt > 0 && now-p.loggedAt < speedLogInterval {
 		return
 	}
 	for _, k := range p.Kinds() {
-		before, known := p.logged[k]
-		if !known {
-			before = 1
-		}
+		before := cmp.Or(p.logged[k.Name()], 1)
 		if ratio := k.Slowness() / before; ratio < 1+speedLogChange && ratio > 1/(1+speedLogChange) {
 			continue
 		}
-		p.logged[k], p.loggedAt = k.Slowness(), now
+		p.logged[k.Name()], p.loggedAt = k.Slowness(), now
 		event.CellSpeedLearned.Log(o.Log).Str("pool", pool).Str("kind", k.Name()).Float64("slowness", k.Slowness()).
 			Float64("before", before).Int("samples", k.Samples()).Send()
+		return
 	}
 }
 
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -168,10 +168,19 @@
 	return &Worker{kind: m.kinds[at], slowness: 1}
 }
 
-// RemoveWorker removes a worker. What is known of its kind stays.
-func (m *Model) RemoveWorker(w *Worker) { w.kind.workers-- }
+// maxKinds is the number of kinds beyond which those without workers are forgotten. Labels may
+// be different for each worker.
+const maxKinds = 64
+
+// RemoveWorker removes a worker. What is known of its kind stays, unless there are many kinds.
+func (m *Model) RemoveWorker(w *Worker) {
+	w.kind.workers--
+	if w.kind.workers == 0 && len(m.kinds) > maxKinds {
+		m.kinds = slices.DeleteFunc(m.kinds, func(k *Kind) bool { return k == w.kind })
+	}
+}
 
-// Kinds returns the kinds of worker that were ever added.
+// Kinds returns the known kinds of worker.
 func (m *Model) Kinds() []*Kind { return m.kinds }
 
 // Restart forgets what was learned of the former incarnation of the worker.
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -154,6 +154,15 @@
 	assert.Assert(t, best >= 15 && classes[fastest] >= 5, "classes of the 20 fast workers: %v", classes)
 }
 
+// TestKindsAreBounded guards against memory that grows with workers whose labels are unique.
+func TestKindsAreBounded(t *testing.T) {
+	m := New()
+	for i := range 1000 {
+		m.RemoveWorker(m.AddWorker(fmt.Sprint(i)))
+	}
+	assert.Assert(t, len(m.Kinds()) <= maxKinds, "%d", len(m.Kinds()))
+}
+
 // TestRange checks that single workers do not decide how fast a pool is.
 func TestRange(t *testing.T) {
 	m := New()
