--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -199,7 +199,8 @@
 	o.addJob(j)
 	o.applyTeamRate(j)
 	event.CellJobAccepted.Log(o.Log).Str("job", spec.ID).Str("queue", spec.Queue).Str("team", spec.Team).
-		Int("tasks", len(j.tasks)).Bool("excess", j.overRate).Send()
+		Int("tasks", len(j.tasks)).Bool("excess", j.overRate).
+		Bool("lasting", slices.ContainsFunc(j.steps, func(s *step) bool { return s.spec.LongRunning })).Send()
 }
 
 // applyTeamRate takes a token from the bucket of the job's team and marks the job if
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
 	"turmericspread.org/turmericspread/internal/event"
@@ -244,10 +245,21 @@
 	n.extendLease(now, startDeadline)
 	o.Counters.Starts++
 	event.CellStart.Log(o.Log).Str("task", request.Task.String()).Int64("run", r.number).Str("worker", n.worker.ID).
-		Int64("fence", request.Fence).Dur("waited", o.WallClock()-r.task.step.job.spec.Accepted).Send()
+		Int64("fence", request.Fence).Dur("waited", o.WallClock()-r.task.step.job.spec.Accepted).Func(r.logStart).Send()
 	o.Start(n.addressee(), request, func(response work.RunResponse, err error) { o.handleStartResponse(r, response, err) })
 }
 
+// logStart adds what explains the run time later, if it is unusual: the learned slowness of the
+// worker, and that the run resumes from saved progress.
+func (r *run) logStart(line *zerolog.Event) {
+	if slowness := r.node.slowness(); slowness != 1 {
+		line.Float64("slowness", slowness)
+	}
+	if !r.fromStart {
+		line.Bool("resumed", true)
+	}
+}
+
 // startWindow returns how long a start that is sent now may be executed. By then the worker must
 // not have been draining for too long, which the list shows as of the time of its reading.
 func (o *Owner) startWindow(now time.Duration) time.Duration {
@@ -382,7 +394,7 @@
 func (o *Owner) handleRunEnd(n *node, t *task, r *run, end work.RunResult) {
 	j := t.step.job
 	event.CellEnd.Log(o.Log).Str("task", end.Task.String()).Int64("run", end.Run).Str("worker", n.worker.ID).
-		Str("how", string(end.Reason)).Int64("number", end.Sequence).Send()
+		Str("how", string(end.Reason)).Int64("number", end.Sequence).Bool("saved", end.Checkpoint != "").Send()
 	if end.Checkpoint != "" {
 		t.setCheckpoint(end.Checkpoint, o.Now())
 	}
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -184,7 +184,8 @@
 	}
 	event.CellStraggler.Log(o.Log).Str("task", r.task.ref().String()).Int64("run", r.number).Str("worker", r.node.worker.ID).
 		Int("percent", r.percent).Dur("window", speed.Window).Float64("slowness", speed.Slowness()).
-		Dur("like-tasks", speed.Expected).Float64("worker", speed.WorkerSlowness).Bool("copy", spec.Speculative && !hasCopy).Send()
+		Dur("like-tasks", speed.Expected).Float64("worker", speed.WorkerSlowness).Bool("copy", spec.Speculative && !hasCopy).
+		Bool("stalled", speed.Stalled()).Send()
 	o.Counters.Stragglers++
 	r.task.avoidWorker(r.node.worker.ID)
 	if spec.Speculative && !hasCopy {
