check: report faults and differences of a configuration before it is sent

Cause: check read a tables file and stopped at the first value out of range. It did not know the configuration in the form of the platform's store, and faults such as a key of two teams or an unknown service showed only in production.

--- a/cmd/turmericspread/main.go
+++ b/cmd/turmericspread/main.go
@@ -11,8 +11,10 @@
 	"os"
 
 	"turmericspread.org/turmericspread/internal/cli"
+	"turmericspread.org/turmericspread/platform"
 )
 
 func main() {
-	os.Exit(cli.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
+	program := cli.Program{DecodeTables: platform.DecodeTables}
+	os.Exit(program.Main(context.Background(), os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -14,7 +14,8 @@
 // run runs a command line and returns its exit status and output.
 func run(args ...string) (status int, stdout, stderr string) {
 	var out, errs bytes.Buffer
-	status = Main(context.Background(), args, &out, &errs)
+	program := Program{DecodeTables: decodeTestTables}
+	status = program.Main(context.Background(), args, &out, &errs)
 	return status, out.String(), errs.String()
 }
 
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(cli.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
+//	os.Exit(cli.Program{}.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
 package cli
 
 import (
@@ -17,6 +17,7 @@
 
 	"github.com/spf13/cobra"
 
+	"turmericspread.org/turmericspread/internal/work"
 	"turmericspread.org/turmericspread/pkg/client"
 )
 
@@ -38,8 +39,16 @@
 // errJobFailed is returned after waiting for a job that did not succeed.
 var errJobFailed = errors.New("the job did not succeed")
 
+// Program is the command-line program.
+type Program struct {
+	// DecodeTables decodes the configuration in the form of the platform's store. If it is nil,
+	// that form cannot be checked.
+	DecodeTables func(value []byte) (*work.Tables, error)
+}
+
 // options holds the flags that all commands share.
 type options struct {
+	Program
 	address string
 	key     string
 	output  string
@@ -63,8 +72,8 @@
 }
 
 // Main runs the command line and returns the exit status.
-func Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	opts := &options{stdout: stdout}
+func (p Program) Main(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	opts := &options{Program: p, stdout: stdout}
 	root := newRootCmd(opts)
 	root.SetArgs(args)
 	root.SetOut(stdout)
