--- a/internal/cell/story_test.go
+++ b/internal/cell/story_test.go
@@ -43,4 +43,5 @@
 	}
 	assert.Assert(t, parts["slow worker"] > 0)
 	assert.Assert(t, parts["stalled"] > 0)
+	assert.Assert(t, parts["attempt after straggler"] > 0, "the reason of a stop is not recognised")
 }
