sched, cell: put last what costs callers least in a shortage

Cause: in a shortage the waiting work was served in the order of the deadlines, and only work that was late already came last. All work started at the last moment, and most of it was late by its slowest task. A job with one started task came first with all its others.

Change: sched.Plan is a pure function over the waiting jobs of a pool and the capacity that is free or becomes free. It adds jobs to the set that can be in time by their value for a core-second of the work that is left, and marks the rest, which sched.Compare puts last. Expected arrivals, turns of teams that use little, work over the rate, maximums of teams and work that would be useless before its turn are taken into account.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -24,6 +24,7 @@
 	state     work.State
 	endedAt   time.Duration // time of day
 	overRate  bool          // over the team's rate
+	work      float64       // estimated core-seconds of one occurrence
 
 	revision     int64 // of the progress record
 	version      int64 // incremented with each change of the progress
@@ -33,6 +34,7 @@
 	saveDueAt    time.Duration // when a pending change has to be saved
 	waitTimes    waitTimes     // of its steps, by reason
 	criticalPath time.Duration // longest chain of estimated work
+	delayLogged  Delay         // last reason for a delay that was logged
 }
 
 // step is one step of a job in one occurrence.
@@ -48,6 +50,8 @@
 	failedRuns     []int64 // failed runs of the whole gang
 	advice         advice
 	rank           sched.Rank     // in the last scheduling pass
+	delay          Delay          // by the last plan
+	turn           bool           // the same: its job is the next of a team that uses little
 	reservations   []*reservation // capacity kept for its tasks
 	reservedAt     time.Duration  // when the workers for reservations were last chosen
 	predictedStart time.Duration  // predicted start of a gang with reservations
@@ -98,7 +102,7 @@
 // newJob builds a job with the steps and tasks of all its occurrences, without any
 // progress.
 func newJob(spec *work.Job) *job {
-	j := &job{spec: spec, policy: cmp.Or(spec.Policy, unknownPolicy), criticalPath: criticalPathFrom(spec, -1)}
+	j := &job{spec: spec, policy: cmp.Or(spec.Policy, unknownPolicy), criticalPath: criticalPathFrom(spec, -1), work: jobWork(spec)}
 	for occurrence := range spec.Occurrences() {
 		for i := range spec.Steps {
 			s := &step{job: j, spec: &spec.Steps[i], number: i, occurrence: occurrence}
@@ -192,6 +196,7 @@
 	j := newJob(spec)
 	o.addJob(j)
 	o.applyTeamRate(j)
+	o.recordArrival(j)
 	event.CellJobAccepted.Log(o.Log).Str("job", spec.ID).Str("queue", spec.Queue).Str("team", spec.Team).
 		Int("tasks", len(j.tasks)).Bool("excess", j.overRate).Send()
 }
@@ -213,6 +218,9 @@
 
 func (o *Owner) addJob(j *job) {
 	o.jobs[j.spec.ID] = j
+	if j.work > 0 {
+		o.meanWork.of(j.spec.Queue).observe(j.work)
+	}
 	if !j.finished() {
 		o.active = append(o.active, j)
 	}
@@ -267,6 +275,7 @@
 	s.tasksDone++
 	s.lastTaskDoneAt = o.WallClock()
 	s.job.tasksLeft--
+	o.recordLongestRun(s)
 	if s.job.tasksLeft == 0 && !s.job.finished() {
 		o.endJob(s.job, work.StateCompleted)
 	}
--- a/internal/cell/learn.go
+++ b/internal/cell/learn.go
@@ -1,6 +1,9 @@
 package cell
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // runningMean is a mean in which recent samples have more weight.
 type runningMean struct {
@@ -26,8 +29,10 @@
 	slowRatio = 1.5
 )
 
-func (r *runningMean) add(x float64) {
-	x = min(x, maxSample)
+func (r *runningMean) add(x float64) { r.observe(min(x, maxSample)) }
+
+// observe adds a sample of any size.
+func (r *runningMean) observe(x float64) {
 	r.count++
 	if r.count <= warmupSamples {
 		r.mean += (x - r.mean) / float64(r.count)
@@ -91,3 +96,21 @@
 	}
 	return penalty
 }
+
+// recordLongestRun records the run time of the longest task of a step that is done. The last
+// task decides when a step ends.
+func (o *Owner) recordLongestRun(s *step) {
+	if s.tasksDone < len(s.tasks) || s.spec.Estimate <= 0 {
+		return
+	}
+	var longest time.Duration
+	for _, t := range s.tasks {
+		longest = max(longest, t.runTime)
+	}
+	if longest > 0 {
+		ratio := float64(longest) / float64(s.spec.Estimate)
+		mean := o.longestRatios.of(s.job.spec.Queue)
+		mean.add(ratio)
+		o.longestSpreads.of(s.job.spec.Queue).add(math.Abs(ratio - mean.mean))
+	}
+}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -106,6 +106,8 @@
 	OnJobEnded    func(queue string, state work.State, age time.Duration)
 	// OnStepWaited receives how long a step waited for one reason.
 	OnStepWaited func(queue string, reason WaitReason, d time.Duration)
+	// OnJobDelayed is called when a job is put last in its priority, once for each reason.
+	OnJobDelayed func(queue string, reason Delay)
 
 	Counters Counters
 
@@ -133,6 +135,7 @@
 	writesInFlight       int
 	passDue              bool // a scheduling pass is due
 	nextPass             time.Duration
+	nextPlan             time.Duration // of what to delay
 	nextFlush            time.Duration
 	sweep                int // number of the current sweep: one or more passes over all waiting steps
 	nextScan             time.Duration
@@ -142,9 +145,15 @@
 	queueTables          *work.Tables          // from which the jobs took their queues
 	runTimeRatios        runningMeans          // measured run time over the estimate, by queue
 	allowedFractions     runningMeans          // fraction of the queried workers that the adviser allows, by queue
+	longestRatios        runningMeans          // run time of the longest task of a step over its estimate, by queue
+	longestSpreads       runningMeans          // mean deviation of these ratios, by queue
+	meanWork             runningMeans          // core-seconds of a job, by queue
+	arrivals             map[arrivalKey]*arrivalRate
 	ownershipLost        bool
 	waitLogsSince        time.Duration // start of the interval in which waitLogs lines were written
 	waitLogs             int           // lines on waiting steps in this interval
+	delayLogsSince       time.Duration // the same for lines on delayed jobs
+	delayLogs            int
 }
 
 // Counters count the actions of the owner for the metrics.
@@ -162,6 +171,7 @@
 		OnStepStarted:    func(string, time.Duration) {},
 		OnJobEnded:       func(string, work.State, time.Duration) {},
 		OnStepWaited:     func(string, WaitReason, time.Duration) {},
+		OnJobDelayed:     func(string, Delay) {},
 		PeersLostStore:   func() bool { return true },
 		Isolated:         func() bool { return false },
 		jobs:             map[string]*job{},
@@ -174,6 +184,10 @@
 		removedFences:    map[string]int64{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
+		longestRatios:    runningMeans{},
+		longestSpreads:   runningMeans{},
+		meanWork:         runningMeans{},
+		arrivals:         map[arrivalKey]*arrivalRate{},
 		sweep:            1, // a new step has 0: not yet checked
 	}
 }
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"turmericspread.org/turmericspread/internal/resource"
@@ -68,6 +67,7 @@
 		return
 	}
 	pools := o.usablePools(now)
+	o.orderGroups(groups, pools, now)
 	headSteps := passHeadSteps
 	if o.Counters.Passes%2 == 0 {
 		headSteps = 0 // steps that the previous pass did not reach come first
@@ -229,8 +229,7 @@
 	}
 }
 
-// waitingGroups returns the steps that have tasks to start, in the order of their
-// rank.
+// waitingGroups returns the steps that have tasks to start, those of a job together.
 func (o *Owner) waitingGroups(now time.Duration) (groups []group) {
 	wall := o.WallClock()
 	for _, j := range o.active {
@@ -260,11 +259,9 @@
 			if !s.spec.LongRunning {
 				g.rank = g.rank.WithLateness(submitted, wall, remainingPath)
 			}
-			s.rank = g.rank
 			groups = append(groups, g)
 		}
 	}
-	slices.SortStableFunc(groups, func(a, b group) int { return sched.Compare(a.rank, b.rank) })
 	return groups
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -77,6 +77,7 @@
 	CellRecordFailed       = define(1114, zerolog.ErrorLevel, "progress record of a job cannot be encoded")
 	CellRecordRefused      = define(1115, zerolog.WarnLevel, "progress records of jobs not written")
 	CellStepWaits          = define(1116, zerolog.InfoLevel, "step waits")
+	CellJobDelayed         = define(1117, zerolog.InfoLevel, "job put last in its priority")
 	CellStart              = define(1120, zerolog.InfoLevel, "run start requested")
 	CellStartRefused       = define(1121, zerolog.InfoLevel, "run start rejected by the worker")
 	CellStartUnknown       = define(1122, zerolog.WarnLevel, "run start not answered, outcome unknown")
--- a/internal/sched/sched.go
+++ b/internal/sched/sched.go
@@ -22,6 +22,9 @@
 type Rank struct {
 	Expired  bool          // the result is useless to its caller
 	Late     bool          // not started, and the deadline can no longer be met
+	Delayed  bool          // put last so that more of the other work is in time; see Plan
+	Turn     bool          // next of a team that uses less than its weight entitles it to; see Plan
+	Hopeless bool          // would be useless before the capacity suffices for it; see Plan
 	Priority int           // of the queue; 0 comes first
 	Started  bool          // a task of the job has been started
 	OverRate bool          // over the rate that follows from the team's weight
@@ -29,9 +32,10 @@
 }
 
 // Compare orders work by priority. Within a priority, work that is not started and
-// can no longer meet its deadline comes last. The rest is sorted with started work
-// first, then work within the team's rate, then by deadline. Expired work is sorted
-// last.
+// can no longer meet its deadline, or that Plan has delayed, comes last: first the delayed
+// work, then the late work, then the hopeless. The rest is sorted with the turns of teams
+// that use little first, then started work, then work within the team's rate, then by
+// deadline. Expired work is sorted last.
 //
 // This order handles four kinds of load:
 //   - a flood from one team: the work of other teams comes first;
@@ -47,9 +51,18 @@
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
+	if c := compareBool(a.Late || a.Delayed, b.Late || b.Delayed); c != 0 {
+		return c
+	}
+	if c := compareBool(a.Hopeless, b.Hopeless); c != 0 {
+		return c
+	}
 	if c := compareBool(a.Late, b.Late); c != 0 {
 		return c
 	}
+	if c := compareBool(b.Turn, a.Turn); c != 0 {
+		return c
+	}
 	if c := compareBool(b.Started, a.Started); c != 0 {
 		return c
 	}
@@ -59,15 +72,15 @@
 	return cmp.Compare(a.Deadline, b.Deadline)
 }
 
-// expiryFactor is the multiple of its time budget after which the result of a job is
+// ExpiryFactor is the multiple of its time budget after which the result of a job is
 // useless to its caller.
-const expiryFactor = 3
+const ExpiryFactor = 3
 
 // WithLateness returns the rank with Expired and Late set for the time now. The time
 // budget of the work starts at submitted, and the work is estimated to take remaining
 // from now on. Long-running work has no end and is never late, so callers skip it.
 func (r Rank) WithLateness(submitted, now, remaining time.Duration) Rank {
-	r.Expired = now+remaining > submitted+expiryFactor*(r.Deadline-submitted)
+	r.Expired = now+remaining > submitted+ExpiryFactor*(r.Deadline-submitted)
 	r.Late = !r.Started && now+remaining > r.Deadline
 	return r
 }
--- a/internal/sched/sched_test.go
+++ b/internal/sched/sched_test.go
@@ -326,7 +326,7 @@
 					continue
 				}
 				total++
-				if j.ended > 0 && j.ended <= j.arrives+expiryFactor*(j.deadline-j.arrives) {
+				if j.ended > 0 && j.ended <= j.arrives+ExpiryFactor*(j.deadline-j.arrives) {
 					n++
 				}
 			}
