host, cell, sched: reject at submission what would be of no use

Cause: a job that could not be of use to its caller any more was stored, kept waiting and done in the end, or never.

Change: in a shortage the owner forecasts every 500 ms when a new job of each queue could be done at the earliest, for four sizes, and for teams whose maximum is in use. It publishes this in its heartbeat responses, in optional fields. A host with fresh knowledge rejects a job with 503 and Retry-After whose forecast exceeds 1.5 times the time after which it is useless, if the store has confirmed that it does not know the ID. Otherwise it accepts. The present load is expected to last as long again as it has lasted.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -32,6 +32,22 @@
 	}
 }
 
+// BenchmarkPassWithPlan is like BenchmarkPass, with a plan of what to delay in each pass. The
+// owner plans at most every planInterval.
+func BenchmarkPassWithPlan(b *testing.B) {
+	s := newSim(&testing.T{}, 1, 350)
+	s.claim()
+	for i := range 1000 {
+		s.submit(fmt.Sprintf("j%d", i), newStep(6, time.Second))
+	}
+	s.run(500 * time.Millisecond)
+	b.ResetTimer()
+	for range b.N {
+		s.owner.nextPlan = 0
+		s.owner.schedule(s.now)
+	}
+}
+
 // TestPassOverBacklogChecksFewWorkers checks that a pass in a full cell with a long
 // backlog skips tasks that fit nowhere, with and without placement advice.
 func TestPassOverBacklogChecksFewWorkers(t *testing.T) {
--- a/internal/cell/overload.go
+++ b/internal/cell/overload.go
@@ -71,6 +71,7 @@
 	shortage  bool
 	teams     []sched.TeamLoad
 	teamCores []float64 // demand of the waiting tasks by team
+	names     []string  // of the teams
 	byName    map[string]int
 }
 
@@ -99,8 +100,12 @@
 			p.shortage = p.shortage || p.teams[i].Limit != nil && p.teamCores[i] > p.teams[i].Limit.Free
 		}
 		short = short || p.shortage
+		if p.shortage {
+			o.recordShortage(service, now)
+		}
 	}
 	if !short {
+		o.lastForecast = forecast{}
 		return
 	}
 	o.addReleases(plans, now)
@@ -111,6 +116,7 @@
 			o.applyPlan(p, now)
 		}
 	}
+	o.forecastQueues(plans, now)
 }
 
 // addWaiting adds a waiting step. Steps of one occurrence of a job follow each other.
@@ -121,6 +127,7 @@
 	if !ok {
 		team = len(p.teams)
 		p.byName[j.spec.Team] = team
+		p.names = append(p.names, j.spec.Team)
 		p.teams, p.teamCores = append(p.teams, o.teamLoad(j)), append(p.teamCores, 0)
 	}
 	cores := coresOf(s.spec.Demand) * float64(len(s.tasks)-s.tasksDone-s.tasksRunning)
@@ -147,18 +154,13 @@
 // expectedPaths returns how long the longest chain of work from the step on usually takes, and
 // how long if all tasks are as fast as the mean of their queue.
 func (o *Owner) expectedPaths(s *step) (path, minPath time.Duration) {
-	factor := func(means runningMeans) float64 {
-		if r := means.of(s.job.spec.Queue); r.count >= minSamples {
-			return r.mean
-		}
-		return 1
+	mean, longest := o.runTimeRatio(s.job.spec.Queue), 1.0
+	if r := o.longestRatios.of(s.job.spec.Queue); r.count >= minSamples {
+		longest = r.mean + longestSpreads*o.longestSpreads.of(s.job.spec.Queue).mean
 	}
-	mean := factor(o.runTimeRatios)
 	expected := func(ratio float64) time.Duration { return time.Duration(float64(s.remainingPath)*ratio) + startTime }
-	longest := factor(o.longestRatios) + longestSpreads*o.longestSpreads.of(s.job.spec.Queue).mean
 	if j := s.job; j.criticalPath > 0 {
-		budget := o.deadline(j, s.occurrence) - max(j.spec.Accepted, j.spec.Due(s.occurrence))
-		longest = min(longest, maxPathFraction*float64(budget)/float64(j.criticalPath))
+		longest = min(longest, maxPathFraction*float64(timeBudget(j.policy, j.criticalPath))/float64(j.criticalPath))
 	}
 	return expected(max(longest, mean)), expected(mean)
 }
@@ -227,10 +229,7 @@
 	if j.work <= 0 || j.overRate || j.spec.Times > 0 {
 		return
 	}
-	ratio := 1.0
-	if r := o.runTimeRatios.of(j.spec.Queue); r.count >= minSamples {
-		ratio = r.mean
-	}
+	ratio := o.runTimeRatio(j.spec.Queue)
 	density := sched.JobValue(j.work, o.meanWork.of(j.spec.Queue).mean) / (j.work * ratio)
 	key := arrivalKey{j.policy.Service, j.policy.Priority, int(math.Floor(math.Log2(density)))}
 	r := o.arrivals[key]
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -149,6 +149,8 @@
 	longestSpreads       runningMeans          // mean deviation of these ratios, by queue
 	meanWork             runningMeans          // core-seconds of a job, by queue
 	arrivals             map[arrivalKey]*arrivalRate
+	shortages            map[string]shortage // of pools, by service
+	lastForecast         forecast
 	ownershipLost        bool
 	waitLogsSince        time.Duration // start of the interval in which waitLogs lines were written
 	waitLogs             int           // lines on waiting steps in this interval
@@ -187,6 +189,7 @@
 		longestRatios:    runningMeans{},
 		longestSpreads:   runningMeans{},
 		meanWork:         runningMeans{},
+		shortages:        map[string]shortage{},
 		arrivals:         map[arrivalKey]*arrivalRate{},
 		sweep:            1, // a new step has 0: not yet checked
 	}
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -284,9 +284,13 @@
 
 // deadline returns the time of day by which an occurrence of a job should end.
 func (o *Owner) deadline(j *job, occurrence int) time.Duration {
-	start := max(j.spec.Accepted, j.spec.Due(occurrence))
-	stretched := min(float64(j.criticalPath)*max(j.policy.Stretch, 1), float64(maxTimeBudget))
-	return start + j.policy.Target + time.Duration(stretched)
+	return max(j.spec.Accepted, j.spec.Due(occurrence)) + timeBudget(j.policy, j.criticalPath)
+}
+
+// timeBudget returns the time that a job with a critical path may take.
+func timeBudget(p *work.Policy, criticalPath time.Duration) time.Duration {
+	stretched := min(float64(criticalPath)*max(p.Stretch, 1), float64(maxTimeBudget))
+	return p.Target + time.Duration(stretched)
 }
 
 // maxTimeBudget bounds the time budget of a job. Several times as much can be added to any
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -100,6 +100,7 @@
 	CarrierLost            = define(1146, zerolog.WarnLevel, "carrier host lost")
 	JobStored              = define(1150, zerolog.InfoLevel, "job stored")
 	JobNotAccepted         = define(1151, zerolog.InfoLevel, "job not accepted")
+	JobUseless             = define(1157, zerolog.InfoLevel, "job rejected because it would be of no use")
 	JobUnknown             = define(1152, zerolog.WarnLevel, "outcome of a job submission unknown")
 	CallRefused            = define(1153, zerolog.InfoLevel, "call refused")
 	CancelStored           = define(1154, zerolog.InfoLevel, "cancellation stored")
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -13,6 +13,7 @@
 	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/peer"
+	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -52,6 +53,10 @@
 	// AsksPeers means that for peersSpan after a heartbeat of a host with access to the
 	// store, the responding owner starts nothing without a record.
 	AsksPeers bool
+	// Loads is the state of the queues in a shortage; empty if there is none, and from builds
+	// without it.
+	Loads    []sched.QueueLoad
+	LoadsAge int64 // of Loads, in milliseconds
 }
 
 type storeReply struct {
@@ -129,6 +134,7 @@
 		out.Owner = h.cellOwner != nil || h.loading()
 		if o := h.cellOwner; o != nil {
 			out.Recorded, out.Sole, out.Epoch = o.Recorded(), o.Sole(), o.Epoch
+			out.Loads, out.LoadsAge = h.queueLoads()
 		}
 		out.AsksPeers = true
 		out.StoreAge = time.Since(h.store.LastSuccess()).Milliseconds() + 1
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -101,6 +101,7 @@
 
 	seeds atomic.Pointer[[]string]
 	view  atomic.Pointer[view] // state of the cell for other goroutines
+	loads atomic.Pointer[knownLoads]
 
 	// The fields below are accessed only on the control goroutine.
 	currentOwner      ownerRow  // empty if the cell has no owner
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -36,6 +36,7 @@
 		}
 	}
 	o.OnStepStarted, o.OnJobEnded, o.OnStepWaited = h.observeStart, h.observeJob, h.observeWait
+	o.OnJobDelayed = h.countDelayed
 	h.connectWorkers(ctx, o)
 	o.Advise = func(request work.AdviceRequest, cost time.Duration, done func(work.AdviceResponse, error)) {
 		address := h.adviceBalancer.acquire(eligibleHosts(h.adviserHosts(), cost), cost)
--- a/internal/host/predecessor.go
+++ b/internal/host/predecessor.go
@@ -99,6 +99,7 @@
 		// responds there.
 		processTerminated := err != nil && isConnectionRefused(err) || err == nil && reply.Instance != v.owner.Instance
 		if err == nil && !processTerminated && reply.Owner {
+			h.recordLoads(reply.Loads, time.Duration(reply.LoadsAge)*time.Millisecond)
 			h.applyPeerTables("owner", &reply.Tables, sent)
 			if !reply.Tables.Whole && reply.Tables.Version > h.tablesVersion() {
 				h.refreshOnce() // too large for the heartbeat response
--- a/internal/host/stats.go
+++ b/internal/host/stats.go
@@ -12,6 +12,8 @@
 	relayTurn atomic.Int64                            // round-robin position of relayAddresses
 	pending   atomic.Pointer[map[string]pendingCount] // by queue; the map is replaced, never modified
 	set       *metrics.Set
+	// rejectionLogs bounds the lines on rejected jobs.
+	rejectionLogs logBudget
 }
 
 // pendingCount is the number of pending jobs of a queue at a point in time.
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -40,6 +40,9 @@
 			Dur("since", time.Since(h.store.LastSuccess())).Send()
 		return ErrNotRun
 	}
+	if err := h.admit(ctx, job); err != nil {
+		return err
+	}
 	key := jobPrefix + job.ID
 	sent := false
 	for {
--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -22,6 +22,7 @@
 	usage  float64 // of the team's other jobs in relation to its weight
 	worth  float64 // what the caller gains if it gets its capacity now
 	inTime bool    // it can be in time
+	probe  int     // 1 plus the index of the probe of a forecast; 0: none
 }
 
 // Capacity is processor time that is free or becomes free.
@@ -105,18 +106,13 @@
 	}
 	slices.SortStableFunc(order, compareCandidates)
 	t := newTimeline(pool, teams, now, end)
-	expected = slices.SortedStableFunc(slices.Values(expected), func(a, b Expected) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.Density, a.Density))
-	})
+	t.lasts = math.Inf(1)
+	expected = sortedExpected(expected)
 	for len(order) > 0 {
 		count := 1
 		for count < len(order) && order[count].Rank.Priority == order[0].Rank.Priority {
 			count++
 		}
-		for len(expected) > 0 && expected[0].Priority < order[0].Rank.Priority {
-			t.take(expected[0].Cores)
-			expected = expected[1:]
-		}
 		delayed += t.plan(order[:count], &expected)
 		order = order[count:]
 	}
@@ -149,13 +145,7 @@
 // removes the work that is expected of this priority.
 func (t *timeline) plan(order []*Waiting, expected *[]Expected) (delayed int) {
 	for _, w := range order {
-		for e := *expected; !w.Rank.Turn && len(e) > 0 && e[0].Priority == w.Rank.Priority; e = e[1:] {
-			if !w.Rank.OverRate && e[0].Density*w.Work <= w.worth {
-				break
-			}
-			t.take(e[0].Cores)
-			*expected = e[1:]
-		}
+		t.takeExpected(w, expected)
 		switch {
 		case w.Rank.Late:
 		case w.inTime:
@@ -177,6 +167,24 @@
 	return delayed
 }
 
+// sortedExpected returns expected work in the order of compareCandidates.
+func sortedExpected(list []Expected) []Expected {
+	return slices.SortedStableFunc(slices.Values(list), func(a, b Expected) int {
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(b.Density, a.Density))
+	})
+}
+
+// takeExpected takes the capacity for the expected work that comes before a job.
+func (t *timeline) takeExpected(w *Waiting, expected *[]Expected) {
+	for e := *expected; len(e) > 0 && e[0].Priority <= w.Rank.Priority; e = *expected {
+		if e[0].Priority == w.Rank.Priority && (w.Rank.Turn || !w.Rank.OverRate && e[0].Density*w.Work <= w.worth) {
+			return
+		}
+		t.take(e[0].Cores)
+		*expected = e[1:]
+	}
+}
+
 // compareCandidates is the order in which work is added to the timeline.
 func compareCandidates(a, b *Waiting) int {
 	if c := cmp.Compare(a.Rank.Priority, b.Rank.Priority); c != 0 {
@@ -200,10 +208,7 @@
 // grantTurns marks one waiting job within the rate of each team that uses less cores for its
 // other jobs, in relation to its weight, than all teams together.
 func grantTurns(waiting []Waiting, teams []TeamLoad) {
-	var used, weight float64
-	for i := range teams {
-		used, weight = used+teams[i].Used, weight+teams[i].Weight
-	}
+	used, weight := totalUse(teams)
 	first := make([]*Waiting, len(teams))
 	for i := range waiting {
 		w := &waiting[i]
@@ -224,9 +229,28 @@
 	}
 }
 
+// totalUse returns the cores that all teams use, and the sum of their weights.
+func totalUse(teams []TeamLoad) (used, weight float64) {
+	for i := range teams {
+		used, weight = used+teams[i].Used, weight+teams[i].Weight
+	}
+	return used, weight
+}
+
+// Heavy returns which teams use at least what their weight entitles them to, so that a new
+// job of them gets no turn.
+func Heavy(teams []TeamLoad) (heavy []bool) {
+	used, weight := totalUse(teams)
+	for i := range teams {
+		heavy = append(heavy, teams[i].Used*weight >= used*teams[i].Weight)
+	}
+	return heavy
+}
+
 // timeline holds the core-seconds that are left in consecutive intervals.
 type timeline struct {
 	now   time.Duration
+	lasts float64   // seconds from now for which work is expected
 	ends  []float64 // ends of the intervals, in seconds from now
 	pool  []float64
 	teams [][]float64 // nil for a team without a maximum
@@ -288,10 +312,13 @@
 	return left
 }
 
-// take takes a number of cores at all times, as far as they are left.
+// take takes a number of cores for as long as work is expected, as far as they are left.
 func (t *timeline) take(cores float64) {
 	start := 0.0
 	for i, end := range t.ends {
+		if end > t.lasts+nothing && i > 0 {
+			return
+		}
 		t.pool[i] = max(t.pool[i]-cores*(end-start), 0)
 		start = end
 	}
