--- a/internal/cell/reserve.go
+++ b/internal/cell/reserve.go
@@ -197,11 +197,12 @@
 // expectedRunTime returns the estimated run time of a task on a worker, corrected by the usual
 // error of the estimates of its queue and the lasting speed of the worker.
 func (o *Owner) expectedRunTime(s *step, n *node) time.Duration {
-	factor := n.slowness()
-	if ratio := o.runTimeRatios.of(s.job.spec.Queue); ratio.count >= minSamples {
-		factor *= ratio.mean
-	}
-	return time.Duration(float64(s.spec.Estimate) * factor)
+	return time.Duration(float64(o.meanRunTime(s)) * n.slowness())
+}
+
+// meanRunTime is the same for a worker of mean speed.
+func (o *Owner) meanRunTime(s *step) time.Duration {
+	return time.Duration(float64(s.spec.Estimate) * o.runTimeRatio(s.job.spec.Queue))
 }
 
 // addReservation reserves one slot.
