--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"slices"
 	"time"
 
 	"turmericspread.org/turmericspread/internal/resource"
@@ -70,6 +69,7 @@
 		return
 	}
 	pools := o.usablePools(now)
+	o.orderGroups(groups, pools, now)
 	headSteps := passHeadSteps
 	if o.Counters.Passes%2 == 0 {
 		headSteps = 0 // steps that the previous pass did not reach come first
@@ -232,8 +232,7 @@
 	}
 }
 
-// waitingGroups returns the steps that have tasks to start, in the order of their
-// rank.
+// waitingGroups returns the steps that have tasks to start, those of a job together.
 func (o *Owner) waitingGroups(now time.Duration) (groups []group) {
 	wall := o.WallClock()
 	for _, j := range o.active {
@@ -263,11 +262,9 @@
 			if !s.spec.LongRunning {
 				g.rank = g.rank.WithLateness(submitted, wall, remainingPath)
 			}
-			s.rank = g.rank
 			groups = append(groups, g)
 		}
 	}
-	slices.SortStableFunc(groups, func(a, b group) int { return sched.Compare(a.rank, b.rank) })
 	return groups
 }
 
@@ -290,9 +287,13 @@
 
 // deadline returns the time of day by which an occurrence of a job should end.
 func (o *Owner) deadline(j *job, occurrence int) time.Duration {
-	start := max(j.spec.Accepted, j.spec.Due(occurrence))
-	stretched := min(float64(j.criticalPath)*max(j.policy.Stretch, 1), float64(maxTimeBudget))
-	return start + j.policy.Target + time.Duration(stretched)
+	return max(j.spec.Accepted, j.spec.Due(occurrence)) + timeBudget(j.policy, j.criticalPath)
+}
+
+// timeBudget returns the time that a job with a critical path may take.
+func timeBudget(p *work.Policy, criticalPath time.Duration) time.Duration {
+	stretched := min(float64(criticalPath)*max(p.Stretch, 1), float64(maxTimeBudget))
+	return p.Target + time.Duration(stretched)
 }
 
 // maxTimeBudget bounds the time budget of a job. Several times as much can be added to any
