host: hold submissions and cancellations while the store is away

Change: a call that changes something waits on its host until the store responds to a probe and the configuration was confirmed after the wait began, at most until the client's deadline less 150 ms. It is then checked by that configuration, and jobs are written in transactions of up to 15. A write without a response is repeated on the same condition until the deadline and answered 504 then. internal/hold decides who is held, the batches, and Retry-After.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -112,6 +112,9 @@
 	LogLinesDropped        = define(1165, zerolog.WarnLevel, "log lines dropped")
 	OwnerNotNotified       = define(1166, zerolog.WarnLevel, "owner not notified of a change")
 	CellEstablished        = define(1167, zerolog.InfoLevel, "former owner fenced")
+	CallsHeld              = define(1170, zerolog.WarnLevel, "calls held until the store responds")
+	CallsReleased          = define(1171, zerolog.InfoLevel, "no call is held any more")
+	CallsTurnedAway        = define(1172, zerolog.WarnLevel, "held calls turned away")
 	InvariantBroken        = define(190, zerolog.ErrorLevel, "invariant violated")
 )
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -66,6 +66,9 @@
 	Targets       Targets
 	StoreLayout   StoreLayout
 	Listen        func(address string) (net.Listener, error)
+	// MemoryMB is the memory of the machine, which bounds the calls that are held
+	// during an outage of the store; 0: unknown.
+	MemoryMB int64
 	// MaxTablesAge is the age of the current configuration from which a request
 	// waits for a refresh.
 	MaxTablesAge time.Duration
@@ -91,6 +94,9 @@
 
 	loadingUntil atomic.Int64 // on the boot clock: end of the time granted for loading the cell; 0: not loading
 
+	running atomic.Bool // Run has begun
+	holding holder
+
 	refreshMu   sync.Mutex
 	refreshDone chan struct{} // closed when the refresh of the configuration in progress has ended
 
@@ -199,12 +205,14 @@
 		OnDirectChange: h.logDirectChange, ProbeKey: ownerKey,
 	}
 	h.store = &kvstore.Client{Do: h.observeStore(h.relay.Do), Timeout: storeTimeout, LargeTimeout: largeTimeout}
+	h.initHolding()
 	h.adviceBalancer.pending, h.adviceBalancer.cooldownUntil = map[string]time.Duration{}, map[string]time.Time{}
 	h.carrierServer = &carrier.Server{Targets: h.observeWorkers(h.Targets.Targets), Spawn: h.spawn, Leaving: h.stopping.Load}
 	listener, err := h.Listen(h.PeerAddress)
 	if err != nil {
 		return err
 	}
+	h.running.Store(true)
 	runCtx, cancel := h.runCtx, h.abort
 	defer cancel()
 	h.spawn(func() { h.loop.Run(runCtx) })
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -107,35 +107,34 @@
 }
 
 // Cancel stores the cancellation of a job. It returns ErrNoJob if the team has
-// no such job, and ErrUnknown if the store has not confirmed the cancellation
-// before ctx ends.
-func (h *Host) Cancel(ctx context.Context, id, team string) (err error) {
-	sent := false
+// no such job, ErrNotRun if the cancellation was not stored and never will be, and
+// ErrUnknown if the store has not confirmed it before ctx ends.
+func (h *Host) Cancel(ctx context.Context, id, team string, call *Call) (err error) {
 	for {
 		_, jobTeam, err := h.State(ctx, id)
-		if errs.Is(err, ErrNoJob) {
+		switch {
+		case errs.Is(err, ErrNoJob):
 			return err
+		case err == nil && jobTeam != team:
+			return ErrNoJob
+		case err != nil:
+			// State has tried until ctx ended.
+			event.CancelFailed.Log(h.Log).Str("job", id).Err(err).Send()
+			return ErrUnknown
 		}
-		if err == nil {
-			if jobTeam != team {
-				return ErrNoJob
-			}
-			_, _, err = h.store.Write(ctx, kvstore.Txn{
-				Expected: []kvstore.Condition{{Key: jobPrefix + id + cancelSuffix}},
-				Puts:     []kvstore.Put{{Key: jobPrefix + id + cancelSuffix, Value: []byte(h.instance)}},
-			})
-			if err == nil || errs.Is(err, kvstore.ErrConflict) {
-				event.CancelStored.Log(h.Log).Str("job", id).Str("team", team).Send()
-				h.notifyOwner(id, callCancel, &cancelRequest{ID: id}, func() bool { return h.cancelLocally(id) })
-				return nil
-			}
-			sent = sent || !kvstore.NotApplied(err)
+		_, _, err = h.store.Write(ctx, kvstore.Txn{
+			Expected: []kvstore.Condition{{Key: jobPrefix + id + cancelSuffix}},
+			Puts:     []kvstore.Put{{Key: jobPrefix + id + cancelSuffix, Value: []byte(h.instance)}},
+		})
+		if err == nil || errs.Is(err, kvstore.ErrConflict) {
+			event.CancelStored.Log(h.Log).Str("job", id).Str("team", team).Send()
+			h.notifyOwner(id, callCancel, &cancelRequest{ID: id}, func() bool { return h.cancelLocally(id) })
+			return nil
 		}
-		if ctx.Err() != nil {
-			event.CancelFailed.Log(h.Log).Str("job", id).Bool("sent", sent).Err(err).Send()
-			return ErrUnknown
+		if again := h.awaitAgain(ctx, call, err); again != nil {
+			event.CancelFailed.Log(h.Log).Str("job", id).Bool("sent", errs.Is(again, ErrUnknown)).Err(err).Send()
+			return again
 		}
-		sleep(ctx, submitRetryInterval)
 	}
 }
 
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -28,25 +28,16 @@
 
 // Submit stores a job. It returns nil if the job is stored, also if an earlier
 // call has stored it. After ErrNotRun the job never runs; after ErrUnknown it
-// may run.
-func (h *Host) Submit(ctx context.Context, job *work.Job) (err error) {
+// may run. A write that fails is repeated once the store responds again.
+func (h *Host) Submit(ctx context.Context, job *work.Job, call *Call) (err error) {
 	job.Accepted = wallClock()
 	value, err := work.EncodeJob(job)
 	if err != nil {
 		return err
 	}
-	if !h.storeUp() {
-		event.JobNotAccepted.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("reason", "the store is away").
-			Dur("since", time.Since(h.store.LastSuccess())).Send()
-		return ErrNotRun
-	}
 	key := jobPrefix + job.ID
-	sent := false
 	for {
-		_, found, err := h.store.Write(ctx, kvstore.Txn{
-			Expected: []kvstore.Condition{{Key: key}},
-			Puts:     []kvstore.Put{{Key: key, Value: value}},
-		})
+		found, err := h.storeJob(ctx, call, key, value)
 		switch {
 		case err == nil:
 			event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
@@ -58,11 +49,9 @@
 			h.notifyStored(found)
 			return nil
 		}
-		sent = sent || !kvstore.NotApplied(err)
-		if ctx.Err() != nil || !h.storeUp() {
-			return h.submitFailed(job, sent, err)
+		if again := h.awaitAgain(ctx, call, err); again != nil {
+			return h.submitFailed(job, again, err)
 		}
-		sleep(ctx, submitRetryInterval)
 	}
 }
 
@@ -70,16 +59,15 @@
 // cancellation.
 const submitRetryInterval = 60 * time.Millisecond
 
-// submitFailed returns ErrUnknown if an attempt to store the job may have
-// reached the store, else ErrNotRun.
-func (h *Host) submitFailed(job *work.Job, sent bool, cause error) error {
-	if sent {
+// submitFailed logs and returns the reason why a job was not stored, or why that is unknown.
+func (h *Host) submitFailed(job *work.Job, reason, cause error) error {
+	if errs.Is(reason, ErrUnknown) {
 		event.JobUnknown.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Err(cause).Send()
-		return ErrUnknown
+		return reason
 	}
-	event.JobNotAccepted.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("reason", "the store refused it").
-		Err(cause).Send()
-	return ErrNotRun
+	event.JobNotAccepted.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("reason", reason.Error()).
+		Dur("since", time.Since(h.store.LastSuccess())).Err(cause).Send()
+	return reason
 }
 
 // notifyStored notifies the owner of a job that was stored by an earlier call.
--- a/internal/kvstore/relay.go
+++ b/internal/kvstore/relay.go
@@ -90,6 +90,13 @@
 	}()
 }
 
+// Probe reads ProbeKey directly, without the path through a peer, and records whether direct
+// calls work.
+func (r *Relay) Probe(ctx context.Context) error {
+	_, err := r.direct(ctx, Request{Get: r.ProbeKey})
+	return err
+}
+
 // direct calls the store directly and records whether direct calls fail. A call that
 // the caller cancelled records nothing.
 func (r *Relay) direct(ctx context.Context, req Request) (resp Response, err error) {
