host: probe the store before the configuration is confirmed

Cause: when the first call is held before any request has failed, as in an outage without responses, the check of the configuration took 1.2 s to fail, and the host noticed the end of the outage that much later.

Change: each step of the wait begins with a direct probe of at most 300 ms. A step that made two reads without success waits twice as long, so that the bound on reads holds.

--- a/internal/host/hold.go
+++ b/internal/host/hold.go
@@ -212,7 +212,8 @@
 	b := &h.holding
 	begin := bootClock()
 	for ctx.Err() == nil {
-		if h.confirmAfter(ctx, begin) {
+		responds, confirmed := h.confirmAfter(ctx, begin)
+		if confirmed {
 			h.releaseHeld()
 			begin = bootClock()
 		}
@@ -226,25 +227,26 @@
 		}
 		b.mu.Unlock()
 		interval := hold.ProbeInterval(h.Members())
+		if responds && !confirmed {
+			interval *= 2 // that were two reads
+		}
 		sleep(ctx, interval*9/10+rand.N(interval/5)) // hosts that began together must not stay in step
 	}
 }
 
-// confirmAfter reports whether the store responds and the configuration was the latest at
-// some time after begin. It makes at most one probe. While the store rejects only this host,
-// the configuration is confirmed by other hosts.
-func (h *Host) confirmAfter(ctx context.Context, begin time.Duration) bool {
-	if !h.store.Up() {
-		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
-		defer cancel()
-		if h.relay.Probe(probeCtx) != nil && !h.store.Up() {
-			return false
-		}
-	}
-	if h.relay.DirectOutage() == 0 {
+// confirmAfter reports whether the store responds, and whether the configuration was the
+// latest at some time after begin. It makes one probe and, if the store responds, one more
+// read. While the store rejects only this host, the configuration is confirmed by other hosts.
+func (h *Host) confirmAfter(ctx context.Context, begin time.Duration) (responds, confirmed bool) {
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if h.relay.Probe(probeCtx) == nil {
 		// A refresh that is in progress may wait for a response that was lost in the outage.
 		_ = h.checkTables(ctx)
 	} else {
+		if !h.store.Up() {
+			return false, false
+		}
 		refreshCtx, cancel := context.WithTimeout(ctx, maxRefreshWait)
 		defer cancel()
 		select {
@@ -252,7 +254,7 @@
 		case <-refreshCtx.Done():
 		}
 	}
-	return h.CanWrite() && h.TablesAge() <= bootClock()-begin
+	return true, h.CanWrite() && h.TablesAge() <= bootClock()-begin
 }
 
 // releaseHeld lets the handlers of the waiting calls check and write them.
