host: hold no longer than needed when the store rejects single hosts

Cause: a host that the store rejects and that finds no host to pass its calls on at first was held until its background reads succeeded; a job submitted twice during an outage could stay unwritten until its deadline, because its key was in flight; and a key that was revoked between two attempts was answered 503.

Change: a held host reads the store through another one in its first step, and again when another host has confirmed the configuration. The writer of held jobs runs again whenever one is writable, and waits until all released calls were checked, at most 30 ms. A call that the new configuration rejects gets that rejection.

--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -188,18 +188,47 @@
 	}
 }
 
+// Unchecked reports whether a released call is still being checked by its handler.
+func (q *Queue) Unchecked() bool {
+	for e := range q.entries {
+		if e.state == released {
+			return true
+		}
+	}
+	return false
+}
+
+// Writable reports whether a call can be written now, which NextBatch would return.
+func (q *Queue) Writable() bool {
+	inFlight := q.inFlight()
+	for e := range q.entries {
+		if e.state == ready && !inFlight[e.Key] {
+			return true
+		}
+	}
+	return false
+}
+
+// inFlight returns the keys of the transactions in flight.
+func (q *Queue) inFlight() map[string]bool {
+	keys := map[string]bool{}
+	for e := range q.entries {
+		if e.state == writing {
+			keys[e.Key] = true
+		}
+	}
+	return keys
+}
+
 // NextBatch returns the calls of the next transaction, the most urgent first, and marks them
 // as sent. It is empty if no call is writable. No two transactions in flight have the same
 // key: the later one of two submissions of one job finds it stored.
 func (q *Queue) NextBatch() (batch []*Entry) {
 	var list []*Entry
-	inFlight := map[string]bool{}
+	inFlight := q.inFlight()
 	for e := range q.entries {
-		switch e.state {
-		case ready:
+		if e.state == ready {
 			list = append(list, e)
-		case writing:
-			inFlight[e.Key] = true
 		}
 	}
 	slices.SortFunc(list, compareUrgency)
--- a/internal/hold/retry.go
+++ b/internal/hold/retry.go
@@ -17,9 +17,16 @@
 	// shortOutage is the time within which most outages of the store end: that of the
 	// measured day took 4.2 s.
 	shortOutage = 5 * time.Second
-	// maxRetryAfter bounds the seconds that a client is asked to wait. A client that comes
-	// back much later than the store is late for nothing.
-	maxRetryAfter = 15
+	// shortSpread is the number of seconds over which clients are spread in a short outage.
+	shortSpread = 2.0
+	// longSpread is the least number in a longer outage, or when too many calls are held: the
+	// held ones occupy their places for about three seconds.
+	longSpread = 4.0
+	// maxSpread bounds the number. A client that comes back much later than the store is late
+	// for nothing.
+	maxSpread = 15.0
+	// maxRandom is the largest random number that is used; 1 would give a second more.
+	maxRandom = 0.999
 )
 
 // RetryAfter returns after how many seconds, at least one, a client should come back. Since
@@ -30,23 +37,16 @@
 // time later.
 func RetryAfter(cause Cause, since time.Duration, priority int, random float64) (seconds int) {
 	urgent := priority <= 0
-	spread := 2.0 // seconds
-	switch {
-	case cause == Takeover, since < shortOutage && cause != BoundReached:
-		if urgent {
-			return 1
-		}
-	case cause == BoundReached:
-		// The others are held until their deadline, which is some three seconds away.
-		spread = max(4, since.Seconds())
-	default:
-		spread = max(4, since.Seconds())
+	spread := shortSpread
+	if cause == BoundReached || cause != Takeover && since >= shortOutage {
+		spread = max(longSpread, since.Seconds())
+	} else if urgent {
+		return 1
 	}
 	if urgent {
 		spread /= 2
 	}
-	spread = min(spread, maxRetryAfter)
-	return 1 + int(spread*min(max(random, 0), 0.999))
+	return 1 + int(min(spread, maxSpread)*min(max(random, 0), maxRandom))
 }
 
 // ProbeInterval returns the interval between two probes of the store by one of the given
--- a/internal/host/heldlog.go
+++ b/internal/host/heldlog.go
@@ -70,16 +70,20 @@
 // RetryAfter returns after how many seconds a client should come back whose call was turned
 // away with err.
 func (h *Host) RetryAfter(err error, priority int) (seconds int) {
+	if !h.running.Load() {
+		return hold.RetryAfter(hold.NoConfiguration, 0, priority, rand.Float64())
+	}
 	cause, since := hold.StoreAway, time.Since(h.store.LastSuccess())
 	switch {
 	case errs.Is(err, errHoldFull):
 		cause = hold.BoundReached
 	case h.Tables() == nil:
 		cause, since = hold.NoConfiguration, time.Since(h.started)
-	case h.store.Up():
+	case !h.store.Up():
+	case !h.TablesConfirmed():
 		cause, since = hold.NoConfiguration, h.TablesAge()
-	case !h.view.Load().known:
-		cause = hold.Takeover
+	default:
+		cause = hold.Takeover // or another cause that has just ended
 	}
 	return hold.RetryAfter(cause, since, priority, rand.Float64())
 }
--- a/internal/host/hold.go
+++ b/internal/host/hold.go
@@ -59,9 +59,10 @@
 	// probeTimeout bounds one probe: a slow store responds within 250 ms. A probe that gets
 	// no response delays the next one.
 	probeTimeout = 300 * time.Millisecond
-	// gatherTime is the time from a release to the first transaction, in which the calls
-	// are checked and encoded by their handlers.
-	gatherTime = 5 * time.Millisecond
+	// gatherTime bounds the time from a release to the first transaction, in which the calls
+	// are checked and encoded by their handlers, and gatherStep is the least.
+	gatherTime = 30 * time.Millisecond
+	gatherStep = 2 * time.Millisecond
 	// maxHeldWrites bounds the transactions in flight, so that one without a response does
 	// not delay all others.
 	maxHeldWrites = 4
@@ -211,8 +212,8 @@
 func (h *Host) probeWhileHeld(ctx context.Context) {
 	b := &h.holding
 	begin := bootClock()
-	for ctx.Err() == nil {
-		responds, confirmed := h.confirmAfter(ctx, begin)
+	for first := true; ctx.Err() == nil; first = false {
+		responds, confirmed := h.confirmAfter(ctx, begin, first)
 		if confirmed {
 			h.releaseHeld()
 			begin = bootClock()
@@ -236,25 +237,39 @@
 
 // confirmAfter reports whether the store responds, and whether the configuration was the
 // latest at some time after begin. It makes one probe and, if the store responds, one more
-// read. While the store rejects only this host, the configuration is confirmed by other hosts.
-func (h *Host) confirmAfter(ctx context.Context, begin time.Duration) (responds, confirmed bool) {
+// read. A store that rejects this host is read through another one, in the first step, and
+// later when another host has confirmed the configuration: then the store responds to that one.
+func (h *Host) confirmAfter(ctx context.Context, begin time.Duration, first bool) (responds, confirmed bool) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	if h.relay.Probe(probeCtx) == nil {
-		// A refresh that is in progress may wait for a response that was lost in the outage.
-		_ = h.checkTables(ctx)
-	} else {
-		if !h.store.Up() {
+		// Requests that began in the outage may still fail, so its result counts.
+		err := h.checkTables(ctx)
+		return true, err == nil && h.confirmedAfter(begin)
+	}
+	if !h.store.Up() {
+		if !first && !h.confirmedAfter(begin) {
+			return false, false
+		}
+		if _, err := h.store.Get(ctx, ownerKey); err != nil {
 			return false, false
 		}
-		refreshCtx, cancel := context.WithTimeout(ctx, maxRefreshWait)
-		defer cancel()
+	}
+	refreshCtx, cancel := context.WithTimeout(ctx, maxRefreshWait)
+	defer cancel()
+	if !h.confirmedAfter(begin) {
 		select {
 		case <-h.refreshOnce():
 		case <-refreshCtx.Done():
 		}
 	}
-	return true, h.CanWrite() && h.TablesAge() <= bootClock()-begin
+	return true, h.CanWrite() && h.confirmedAfter(begin)
+}
+
+// confirmedAfter reports whether the configuration is confirmed and was the latest at some
+// time after begin.
+func (h *Host) confirmedAfter(begin time.Duration) bool {
+	return h.TablesConfirmed() && h.TablesAge() <= bootClock()-begin
 }
 
 // releaseHeld lets the handlers of the waiting calls check and write them.
@@ -332,7 +347,7 @@
 // flushHeld writes the calls that are ready, in transactions, until there are none.
 func (h *Host) flushHeld() {
 	b := &h.holding
-	sleep(h.runCtx, gatherTime)
+	h.gatherHeld()
 	for {
 		b.slots <- struct{}{}
 		b.mu.Lock()
@@ -354,6 +369,17 @@
 	}
 }
 
+// gatherHeld waits until the handlers of the released calls have checked them.
+func (h *Host) gatherHeld() {
+	b := &h.holding
+	for waited, unchecked := time.Duration(0), true; unchecked && waited < gatherTime; waited += gatherStep {
+		sleep(h.runCtx, gatherStep)
+		b.mu.Lock()
+		unchecked = b.queue.Unchecked()
+		b.mu.Unlock()
+	}
+}
+
 // writeHeld writes jobs in one transaction. If a condition does not hold, the jobs that are
 // stored already are reported as such, and the others are written anew.
 func (h *Host) writeHeld(batch []*Call) {
@@ -391,7 +417,8 @@
 			call.outcome <- heldOutcome{err: err}
 		}
 	}
-	if len(stored) > 0 && !b.flushing {
+	if !b.flushing && b.queue.Writable() {
+		// Jobs whose transaction had a conflict, or whose key was in flight.
 		b.flushing = true
 		h.spawn(h.flushHeld)
 	}
