--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -119,19 +119,8 @@
 	if e.Deadline <= now || e.Bytes > q.bounds.Bytes {
 		return false, nil
 	}
-	calls, bytes := len(q.entries)+1, q.bytes+e.Bytes
-	for _, other := range q.displaceable() {
-		if calls <= q.bounds.Calls && bytes <= q.bounds.Bytes {
-			break
-		}
-		if compareChance(other, e) >= 0 {
-			break // e has the least chance
-		}
-		displaced = append(displaced, other)
-		calls--
-		bytes -= other.Bytes
-	}
-	if calls > q.bounds.Calls || bytes > q.bounds.Bytes {
+	displaced, held = q.makeRoom(e)
+	if !held {
 		return false, nil
 	}
 	for _, other := range displaced {
@@ -143,6 +132,27 @@
 	return true, displaced
 }
 
+// makeRoom returns the calls that must be turned away to hold e, and whether that suffices.
+func (q *Queue) makeRoom(e *Entry) (displaced []*Entry, enough bool) {
+	calls, bytes := len(q.entries)+1, q.bytes+e.Bytes
+	fits := func() bool { return calls <= q.bounds.Calls && bytes <= q.bounds.Bytes }
+	if fits() {
+		return nil, true
+	}
+	for _, other := range q.displaceable() {
+		if compareChance(other, e) >= 0 {
+			break // e has the least chance
+		}
+		displaced = append(displaced, other)
+		calls--
+		bytes -= other.Bytes
+		if fits() {
+			return displaced, true
+		}
+	}
+	return nil, false
+}
+
 // displaceable returns the calls that can still be turned away, the one with the least
 // chance first.
 func (q *Queue) displaceable() (list []*Entry) {
