test: sharpen the tests of held submissions

Cause: with the rule switched off that a held call waits for a configuration from after the outage, TestRevokedKeyWhileHeld passed, because the one from before was too old anyway; and TestBatches passed without the bound on the bytes of a transaction.

--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -61,10 +61,10 @@
 		return &e
 	}
 	for i := range 35 {
-		add(Entry{Key: fmt.Sprintf("%02d", i), Deadline: ms(2000 - 50*i), Priority: i % 3})
+		add(Entry{Key: fmt.Sprintf("%02d", i), Deadline: ms(2000 - 50*i), Priority: i % 3, Size: 1})
 	}
 	large := add(Entry{Key: "large", Deadline: ms(10), Size: maxBatchBytes})
-	again := add(Entry{Key: "34", Deadline: ms(5000)})
+	again := add(Entry{Key: "34", Deadline: ms(5000), Size: 1})
 	assert.Equal(t, len(q.NextBatch()), 0, "calls that wait must not be written")
 	assert.Equal(t, len(q.Release()), len(entries))
 	for _, e := range entries {
@@ -76,7 +76,7 @@
 		sizes = append(sizes, len(batch))
 		order = append(order, batch...)
 	}
-	assert.DeepEqual(t, sizes, []int{15, 15, 6})
+	assert.DeepEqual(t, sizes, []int{1, 15, 15, 5})
 	assert.Equal(t, order[0], large)
 	for i := 1; i < len(order); i++ {
 		a, b := order[i-1], order[i]
