--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -117,6 +117,9 @@
 	CellEstablished        = define(1167, zerolog.InfoLevel, "former owner fenced")
 	EvacuationRequested    = define(1170, zerolog.InfoLevel, "evacuation of a data centre requested")
 	EvacuationEnded        = define(1171, zerolog.InfoLevel, "evacuation of a data centre ended")
+	CallsHeld              = define(1174, zerolog.WarnLevel, "calls held until the store responds")
+	CallsReleased          = define(1175, zerolog.InfoLevel, "no call is held any more")
+	CallsTurnedAway        = define(1176, zerolog.WarnLevel, "held calls turned away")
 	InvariantBroken        = define(190, zerolog.ErrorLevel, "invariant violated")
 )
 
--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -44,9 +44,9 @@
 
 func (e *uselessError) Is(target error) bool { return target == ErrNotRun }
 
-// RetryAfter returns the number of seconds after which a rejected submission may be repeated,
-// if the rejection has one of its own.
-func RetryAfter(err error) (seconds int, ok bool) {
+// retryAfterUseless returns the number of seconds after which a submission may be repeated that
+// was rejected as useless; ok is false for other errors.
+func retryAfterUseless(err error) (seconds int, ok bool) {
 	var useless *uselessError
 	if !errors.As(err, &useless) {
 		return 0, false
--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -64,7 +64,7 @@
 			assert.Equal(t, writes, 0, "something was stored")
 			if err != nil {
 				assert.Assert(t, errs.Is(err, ErrNotRun))
-				seconds, ok := RetryAfter(err)
+				seconds, ok := retryAfterUseless(err)
 				assert.Assert(t, ok && seconds >= 1 && seconds <= 15, "%d", seconds)
 			}
 		})
