sched, cell: serve a short shortage in the order of the deadlines

Cause: in a cell with workers of 0.7 and 1.7 times the nominal speed and long jobs beside the urgent ones, the plan was worse than the order before at 0.9 and 1.2 times the capacity: jobs that had waited for their margin were put last although everything fitted, and turns changed the order without a need.

Change: jobs that are in time only with luck are delayed only if not all others fit, turns apply only if something is delayed, work is expected for as long as the shortage has lasted, and the margin is time before the deadline instead of a lower number of cores.

--- a/internal/cell/forecast.go
+++ b/internal/cell/forecast.go
@@ -100,10 +100,11 @@
 }
 
 // runTimeRatio returns the usual run time of the tasks of a queue in relation to their
-// estimates.
+// estimates. It is never zero, even if all tasks end at once.
 func (o *Owner) runTimeRatio(queue string) float64 {
+	const lowest = 0.05
 	if r := o.runTimeRatios.of(queue); r.count >= minSamples {
-		return r.mean
+		return max(r.mean, lowest)
 	}
 	return 1
 }
--- a/internal/cell/overload.go
+++ b/internal/cell/overload.go
@@ -112,7 +112,7 @@
 	wall := o.WallClock()
 	for service, p := range plans {
 		if p.shortage {
-			sched.Plan(p.waiting, o.expectedWork(service, now), p.capacity, p.teams, wall)
+			sched.Plan(p.waiting, o.expectedWork(service, now), now-o.shortages[service].since, p.capacity, p.teams, wall)
 			o.applyPlan(p, now)
 		}
 	}
--- a/internal/cell/shortage_test.go
+++ b/internal/cell/shortage_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/work"
 )
@@ -186,6 +187,24 @@
 	}
 }
 
+// TestShortageWithinAMaximum guards against a team whose waiting work exceeds its maximum, and
+// of which all work is late, while the cell has capacity for the other teams.
+func TestShortageWithinAMaximum(t *testing.T) {
+	t.Parallel()
+	const maximum = shortageCores / 4
+	s := newShortageSim(t, 1, 1000, 1000)
+	team := s.tables.Teams["team-0"]
+	team.Maximum = resource.Vector{MilliCores: 1000 * maximum}
+	s.tables.Teams["team-0"] = team
+	s.submitUrgent(0, constant(capacityRate/2), s.sizes)
+	s.submitUrgent(1, constant(capacityRate/3), s.sizes)
+	s.run(14 * time.Second)
+	limited, other := s.served("urgent", "team-0", 3*time.Second, 12*time.Second), s.served("urgent", "team-1", 3*time.Second, 12*time.Second)
+	t.Logf("team with a maximum %+v, other team %+v", limited, other)
+	assert.Assert(t, limited.inTimeFraction() >= 0.6, "the maximum suffices for half of the work")
+	assert.Assert(t, other.inTimeFraction() >= 0.97)
+}
+
 // TestUselessWorkDelaysNothing guards against a backlog of urgent work that is of no use any
 // more and that long jobs wait for.
 func TestUselessWorkDelaysNothing(t *testing.T) {
--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -75,7 +75,8 @@
 //
 // Expected work takes its part before waiting work that is worth less for a core-second. A
 // few large jobs would otherwise be started in a moment in which few small ones wait, and the
-// next small ones would find no capacity for as long as the large ones run.
+// next small ones would find no capacity for as long as the large ones run. It is expected
+// for the time lasts.
 //
 // Only the work that is left counts, and started work counts twice, because a delay wastes
 // what was done. Work over its team's rate is added last, so that work within a rate is
@@ -85,11 +86,12 @@
 //
 // A job counts as in time only if its slowest task has time enough: in deadline order all
 // work starts at the last moment, and with the time that a mean task takes most of it
-// would be late.
+// would be late. Jobs that are in time only with luck are delayed as well, but only if not all
+// others fit: in a short shortage most of them are in time.
 //
 // Late and delayed work is still of some use until it expires. What does not fit before
 // that either is marked as Hopeless.
-func Plan(waiting []Waiting, expected []Expected, pool Capacity, teams []TeamLoad, now time.Duration) (delayed int) {
+func Plan(waiting []Waiting, expected []Expected, lasts time.Duration, pool Capacity, teams []TeamLoad, now time.Duration) (delayed int) {
 	for i := range waiting {
 		waiting[i].assess(now)
 	}
@@ -106,7 +108,7 @@
 	}
 	slices.SortStableFunc(order, compareCandidates)
 	t := newTimeline(pool, teams, now, end)
-	t.lasts = math.Inf(1)
+	t.lasts = lasts.Seconds()
 	expected = sortedExpected(expected)
 	for len(order) > 0 {
 		count := 1
@@ -144,16 +146,21 @@
 // plan adds the work of one priority to the timeline and marks what does not fit. It
 // removes the work that is expected of this priority.
 func (t *timeline) plan(order []*Waiting, expected *[]Expected) (delayed int) {
+	short := false
 	for _, w := range order {
 		t.takeExpected(w, expected)
 		switch {
 		case w.Rank.Late:
 		case w.inTime:
 			w.Rank.Delayed = !t.add(w, w.Path, w.Rank.Deadline)
+			short = short || w.Rank.Delayed
 		case w.Rank.Started:
 			w.Rank.Delayed = !t.add(w, w.MinPath, w.Expiry)
-		default:
-			w.Rank.Delayed = true
+		}
+	}
+	for _, w := range order {
+		if !w.inTime && !w.Rank.Late && !w.Rank.Started {
+			w.Rank.Delayed = short || !t.add(w, w.MinPath, max(w.Rank.Deadline, t.now+w.MinPath))
 		}
 	}
 	for _, w := range order {
@@ -164,6 +171,9 @@
 			w.Rank.Hopeless = true
 		}
 	}
+	for _, w := range order {
+		w.Rank.Turn = w.Rank.Turn && delayed > 0
+	}
 	return delayed
 }
 
@@ -340,8 +350,8 @@
 }
 
 // add takes the capacity for a job as late before until as possible, and reports whether
-// there is enough. It takes no more cores at a time than a job can use whose longest chain
-// of work takes the time path.
+// there is enough. It takes no more cores at a time than the job can use, and leaves the time
+// by which path exceeds the mean to the slowest tasks.
 func (t *timeline) add(w *Waiting, path, until time.Duration) (fits bool) {
 	if t.now+path > until {
 		return false
@@ -350,11 +360,11 @@
 		return true
 	}
 	cores := math.Inf(1)
-	if path > 0 {
-		cores = w.Work / path.Seconds()
+	if w.MinPath > 0 {
+		cores = w.Work / w.MinPath.Seconds()
 	}
 	// A job that can only just be in time must not fail for the rounding of times.
-	limit := (until - t.now).Seconds() + nothing
+	limit := (until - t.now - (path - w.MinPath)).Seconds() + nothing
 	last, _ := slices.BinarySearch(t.ends, limit)
 	last = min(last, len(t.ends)-1)
 	team := t.teams[w.Team]
