sched: jobs in time only with luck get what the others leave

Cause: they were delayed as soon as one other job did not fit, although capacity for them was left.

Change: they are added after the others. A test checks that turns do not change the order while nothing is delayed.

--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -86,8 +86,7 @@
 //
 // A job counts as in time only if its slowest task has time enough: in deadline order all
 // work starts at the last moment, and with the time that a mean task takes most of it
-// would be late. Jobs that are in time only with luck are delayed as well, but only if not all
-// others fit: in a short shortage most of them are in time.
+// would be late. Jobs that are in time only with luck get what the others leave.
 //
 // Late and delayed work is still of some use until it expires. What does not fit before
 // that either is marked as Hopeless.
@@ -146,21 +145,19 @@
 // plan adds the work of one priority to the timeline and marks what does not fit. It
 // removes the work that is expected of this priority.
 func (t *timeline) plan(order []*Waiting, expected *[]Expected) (delayed int) {
-	short := false
 	for _, w := range order {
 		t.takeExpected(w, expected)
 		switch {
 		case w.Rank.Late:
 		case w.inTime:
 			w.Rank.Delayed = !t.add(w, w.Path, w.Rank.Deadline)
-			short = short || w.Rank.Delayed
 		case w.Rank.Started:
 			w.Rank.Delayed = !t.add(w, w.MinPath, w.Expiry)
 		}
 	}
 	for _, w := range order {
 		if !w.inTime && !w.Rank.Late && !w.Rank.Started {
-			w.Rank.Delayed = short || !t.add(w, w.MinPath, max(w.Rank.Deadline, t.now+w.MinPath))
+			w.Rank.Delayed = !t.add(w, w.MinPath, max(w.Rank.Deadline, t.now+w.MinPath))
 		}
 	}
 	for _, w := range order {
--- a/internal/sched/overload_test.go
+++ b/internal/sched/overload_test.go
@@ -64,7 +64,7 @@
 			[]TeamLoad{{Weight: 1, Used: 4, Limit: &Capacity{Free: 1}}, {Weight: 1, Used: 4}}, []int{2, 3}, nil},
 		{"a job whose slowest task cannot be in time is delayed for others",
 			[]Waiting{slow(one), one, one, one, one, one}, Capacity{Free: 2}, teams, []int{0, 5}, nil},
-		{"but not if all others fit", []Waiting{slow(one), one}, Capacity{Free: 2}, teams, nil, nil},
+		{"but not if there is room", []Waiting{slow(one), one}, Capacity{Free: 2}, teams, nil, nil},
 		{"expected work that is worth more for its work comes first", []Waiting{oneSecondJob(2, deadline), one}, Capacity{Free: 2}, teams, []int{0},
 			[]Expected{{0, 0.7, 1}}},
 		{"a turn is not lost to expected work", []Waiting{with(oneSecondJob(2, deadline), func(w *Waiting) { w.Team = 1 })}, Capacity{Free: 2}, teams, nil,
@@ -77,6 +77,7 @@
 			count := Plan(tc.waiting, tc.expected, time.Minute, tc.pool, tc.teams, 0)
 			var delayed []int
 			for i := range tc.waiting {
+				assert.Assert(t, count > 0 || !tc.waiting[i].Rank.Turn, "the order is not that of the deadlines")
 				if tc.waiting[i].Rank.Delayed {
 					delayed = append(delayed, i)
 				}
