host: test of the state of the queues in heartbeats

Cause: nothing guarded the new optional fields against a host of the previous build. Change: a test encodes and decodes them in both directions; the design note is wrapped.

--- a/internal/host/admission_test.go
+++ b/internal/host/admission_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/zeebo/errs"
 	"gotest.tools/v3/assert"
 
@@ -71,3 +72,28 @@
 	}
 	assert.NilError(t, New().admit(context.Background(), &work.Job{ID: "a"}), "nothing was heard from the owner")
 }
+
+// TestLoadsInHeartbeats guards against a state of the queues that is lost between hosts, and
+// against a response that a host of another build cannot read.
+func TestLoadsInHeartbeats(t *testing.T) {
+	type formerReply struct {
+		Instance string
+		Owner    bool
+	}
+	loads := []sched.QueueLoad{{
+		Queue: "q", Mean: 4, Ends: []time.Duration{time.Second}, Heavy: []string{"team"}, Limited: []sched.TeamEnds{{Team: "a", Ends: []time.Duration{1}}},
+	}}
+	sent, err := cbor.Marshal(&heartbeatReply{Instance: "owner", Owner: true, Loads: loads, LoadsAge: 7})
+	assert.NilError(t, err)
+	var received heartbeatReply
+	assert.NilError(t, cbor.Unmarshal(sent, &received))
+	assert.DeepEqual(t, received.Loads, loads)
+	var former formerReply
+	assert.NilError(t, cbor.Unmarshal(sent, &former))
+	assert.Equal(t, former, formerReply{"owner", true})
+	sent, err = cbor.Marshal(&former)
+	assert.NilError(t, err)
+	received = heartbeatReply{}
+	assert.NilError(t, cbor.Unmarshal(sent, &received))
+	assert.Equal(t, len(received.Loads), 0)
+}
--- a/internal/sched/overload.go
+++ b/internal/sched/overload.go
@@ -80,9 +80,9 @@
 //
 // Only the work that is left counts, and started work counts twice, because a delay wastes
 // what was done. Work over its team's rate is added last, so that work within a rate is
-// never delayed for it. One
-// job of each team that, apart from this job, uses less than its weight entitles it to comes
-// first, so that neither size nor number of the others' jobs starve a small team.
+// never delayed for it. One job of each team that, apart from this job, uses less than its
+// weight entitles it to comes first, so that neither size nor number of the others' jobs
+// starve a small team.
 //
 // A job counts as in time only if its slowest task has time enough: in deadline order all
 // work starts at the last moment, and with the time that a mean task takes most of it
