--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -156,6 +156,8 @@
 	arrivals             map[arrivalKey]*arrivalRate
 	shortages            map[string]shortage // of pools, by service
 	lastForecast         forecast
+	restoredSpeeds       map[string]restoredSpeed // stored by a former owner, by worker that is not listed yet
+	storedSpeeds         savedSpeeds              // record of the speeds in the store
 	ownershipLost        bool
 	waitLogsSince        time.Duration // start of the interval in which waitLogs lines were written
 	waitLogs             int           // lines on waiting steps in this interval
@@ -172,6 +174,7 @@
 	// Placements on workers that are slower or faster than the mean of their pool, and ones from
 	// which the task is not expected to end in time.
 	PlacedOnSlower, PlacedOnFaster, PlacedBeyondTime int64
+	SpeedsSaved                                      int64 // writes of the learned speeds
 	Passes, CandidatesChecked                        int64 // scheduling passes, and workers checked
 }
 
@@ -201,6 +204,7 @@
 		meanWork:         runningMeans{},
 		shortages:        map[string]shortage{},
 		arrivals:         map[arrivalKey]*arrivalRate{},
+		restoredSpeeds:   map[string]restoredSpeed{},
 		sweep:            1, // a new step has 0: not yet checked
 	}
 }
