feat: bound what uncontrolled clients make a host buffer

Cause: hertz read whole bodies (up to 4 MB for each connection) and heads without a bound before any handler, decoding a body could take a hundred times its size, and one accept error ended the listener. Clients that stopped short ended a host.

Change: internal/httpserve has connections of its own for hertz. Heads, empty lines, framing, trailers, bodies and the time for each are bounded while reading, by the limits of the configuration as they stand; handlers read a body after route, key and announced length were checked. internal/connlimit bounds the connections and the buffered bytes of each listener, from the machine's memory and the descriptors; the connections that hold most and have sent least lately are closed first (connlimit.Victims). The peers' listener counts the bytes of messages in progress. Bodies with more objects or values than any job has are rejected before decoding. Event 1158 and the metrics connections_open, _buffered_bytes and _closed_total.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -104,6 +104,7 @@
 	CancelStored           = define(1154, zerolog.InfoLevel, "cancellation stored")
 	CancelFailed           = define(1155, zerolog.WarnLevel, "cancellation not stored")
 	StateUnknown           = define(1156, zerolog.WarnLevel, "state of a job could not be determined")
+	ConnectionsClosed      = define(1158, zerolog.WarnLevel, "connections closed or refused")
 	StoreDirectDown        = define(1160, zerolog.WarnLevel, "direct access to the store lost")
 	StoreDirectUp          = define(1161, zerolog.InfoLevel, "direct access to the store restored")
 	TablesStale            = define(1162, zerolog.WarnLevel, "configuration cannot be read")
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	"turmericspread.org/turmericspread/internal/boottime"
 	"turmericspread.org/turmericspread/internal/carrier"
 	"turmericspread.org/turmericspread/internal/cell"
+	"turmericspread.org/turmericspread/internal/connlimit"
 	"turmericspread.org/turmericspread/internal/control"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
@@ -66,6 +68,11 @@
 	Targets       Targets
 	StoreLayout   StoreLayout
 	Listen        func(address string) (net.Listener, error)
+	// PeerConnections bounds the connections and messages of other hosts. If it is nil,
+	// they are unbounded.
+	PeerConnections *connlimit.Group
+	// WriteMetrics, if set, writes further metrics.
+	WriteMetrics func(w io.Writer)
 	// MaxTablesAge is the age of the current configuration from which a request
 	// waits for a refresh.
 	MaxTablesAge time.Duration
@@ -205,6 +212,9 @@
 	if err != nil {
 		return err
 	}
+	if h.PeerConnections != nil {
+		listener = peer.LimitListener(listener, h.PeerConnections)
+	}
 	runCtx, cancel := h.runCtx, h.abort
 	defer cancel()
 	h.spawn(func() { h.loop.Run(runCtx) })
