fix: bound what whole heads and bodies take once they are parsed

Cause: hertz keeps the parsed fields and paths of a head for the life of the connection; an unknown field name of megabytes went into the error, the response and the log; a label may have been as long as the body.

--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -63,6 +63,7 @@
 	allowed   int64 // bound of consumed
 	bodyHeld  int64 // reserved for the body
 	bufHeld   int64 // reserved for buf
+	headHeld  int64 // reserved for the request context
 	failure   *Refusal
 	refused   bool // a response was written past hertz
 
@@ -118,8 +119,10 @@
 			return c.fail(400, "empty-lines", "too many empty lines before the request")
 		case end > c.limits.HeaderBytes || end < 0 && len(unread) >= c.limits.HeaderBytes:
 			return c.fail(431, "header-size", "request header too large")
-		case end >= 0 || len(unread) > 0 && (unread[0] <= ' ' || unread[0] > '~'):
-			return nil // the latter is no request, which hertz responds to
+		case end >= 0:
+			return c.checkHead(unread[:end])
+		case len(unread) > 0 && (unread[0] <= ' ' || unread[0] > '~'):
+			return nil // no request, which hertz responds to
 		}
 		c.scanned = len(unread)
 		if err := c.more(c.limits.HeaderBytes + prefetch); err != nil {
@@ -128,6 +131,28 @@
 	}
 }
 
+const (
+	// maxFields bounds the fields of a header. Clients send about ten.
+	maxFields = 100
+	// headFactor is the memory that the request context of hertz keeps for a head until the
+	// connection is closed, as a multiple of its size.
+	headFactor = 6
+)
+
+// checkHead returns an error if a whole head takes too much memory once it is parsed.
+func (c *conn) checkHead(head []byte) (err error) {
+	if bytes.Count(head, []byte{'\n'}) > maxFields+2 {
+		return c.fail(431, "header-fields", "too many header fields")
+	}
+	if need := int64(headFactor * len(head)); len(head) > firstBuffer && need > c.headHeld {
+		if c.entry.ReserveWhole(need-c.headHeld) != nil {
+			return c.fail(503, "", noMemoryText)
+		}
+		c.headHeld = need
+	}
+	return nil
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest() (err error) {
 	c.limits = c.opts.Limits().orDefaults()
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -94,6 +94,9 @@
 		{"too much framing", chunks + strings.Repeat("1\r\nx\r\n", 20_000), []string{"400", "closed"}},
 		{"trailers over the limit", chunks + "0\r\n" + strings.Repeat("X-A: b\r\n", 3000), []string{"400", "closed"}},
 		{"header over the limit", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 40_000), []string{"431", "closed"}},
+		{"many header fields", "GET /a HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A:b\r\n", 200) + "\r\n", []string{"431", "closed"}},
+		{"large header", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 30_000) + "\r\n\r\n" + get, []string{"0", "0"}},
+		{"expects to continue", strings.Replace(post(9000), "\r\n", "\r\nExpect: 100-continue\r\n", 1), []string{"100", "9000"}},
 		{"empty lines", strings.Repeat("\r\n", 100) + get, []string{"400", "closed"}},
 		{"no HTTP", "\x16\x03\x01\x02\x00", []string{"400", "closed"}},
 	} {
--- a/internal/work/work.go
+++ b/internal/work/work.go
@@ -29,6 +29,8 @@
 const (
 	// MaxPayload is the maximum payload size in bytes.
 	MaxPayload = 4000
+	// MaxLabel is the maximum length of a label, a rack or an image in bytes.
+	MaxLabel = 1000
 	// MaxSteps is the maximum number of steps of a job.
 	MaxSteps = 256
 	// MaxJobTasks is the maximum number of tasks over all occurrences of a job.
@@ -138,6 +140,8 @@
 		return errs.New("steps[%d]: resources must not be negative", i)
 	case !(resource.Vector{MilliCores: MaxDemand, MemoryMB: MaxDemand, Accelerators: MaxDemand}).Fits(s.Demand):
 		return errs.New("steps[%d]: resources: at most %d of each are allowed", i, int64(MaxDemand))
+	case max(len(s.Label), len(s.Rack), len(s.Image)) > MaxLabel:
+		return errs.New("steps[%d]: a label, rack or image has more than %d bytes", i, MaxLabel)
 	case len(s.After) > i:
 		return errs.New("steps[%d]: after: more entries than earlier steps", i)
 	case s.Estimate < 0 || s.TailLatencyTarget < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0:
