fix: count what peers have sent, and bound the callers of the older engine

Cause: a peer reserved memory for a frame that it only announced. The setting limits.connections of the older engine was not applied, and its bodies had no common bound. Some rules had no test that fails without them.

Change: the peers' listener counts the data that has arrived; internal/entry passes a group with its number of connections. Tests for evicted connections, the grace of idle ones, announced bodies that are not sent, and counted bytes.

--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -26,7 +26,7 @@
 		{"none that holds nothing", []Load{{Reading, 0, 60 * second, false}, {Reading, 10, 0, false}}, 5, 0, []int{1}},
 		{"none that is served", []Load{{Serving, 9 * mb, 60 * second, false}, {Reading, 100 * kb, 0, false}}, mb, 0, nil},
 		{"none at all if it would not be enough", []Load{{Reading, 100 * kb, 0, false}}, mb, 0, nil},
-		{"no peer that may await a response", []Load{{Idle, 2 * mb, second, true}, {Idle, 2 * mb, 6 * second, true}}, mb, 0, []int{1}},
+		{"no peer that may await a response", []Load{{Idle, 9 * mb, second, true}, {Idle, 2 * mb, 6 * second, true}}, mb, 0, []int{1}},
 		{"for a place, one that has sent no request", []Load{{Idle, 0, 90 * second, true}, {Idle, 0, second, false}, {Idle, 0, 2 * second, false}}, 0, 1, []int{2}},
 		{"for a place, the one that is silent longest", []Load{{Idle, 0, 5 * second, true}, {Serving, 0, 90 * second, true}, {Reading, 0, 9 * second, true}}, 0, 1, []int{2}},
 		{"no place if all are served", []Load{{Serving, 0, 90 * second, true}}, 0, 1, nil},
@@ -55,6 +55,17 @@
 func (testTarget) CloseNow()  {}
 func (testTarget) Interrupt() {}
 
+// TestEvictedReservesNothing guards against a connection that takes memory after its place was
+// given to another one.
+func TestEvictedReservesNothing(t *testing.T) {
+	g := NewGroup("test", Bounds{Connections: 1, Bytes: 100})
+	first, second := g.Add(testTarget{}), g.Add(testTarget{})
+	assert.ErrorContains(t, first.Reserve(1), "no memory")
+	assert.NilError(t, second.Reserve(100))
+	assert.Assert(t, second.SetState(Serving))
+	assert.Assert(t, g.Add(testTarget{}) == nil, "a request that is served was given up")
+}
+
 // TestGroupUnderPressure guards against a group that exceeds its bounds, that loses count, or
 // that waits for ever, while many connections reserve more than there is.
 func TestGroupUnderPressure(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/zeebo/errs"
 
 	"turmericspread.org/turmericspread/internal/config"
+	"turmericspread.org/turmericspread/internal/connlimit"
 	"turmericspread.org/turmericspread/internal/control"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/hostlist"
@@ -202,13 +203,25 @@
 	if err != nil {
 		return nil, err
 	}
-	e.httpServer = httpserve.New(listener, httpserve.Options{MaxBody: bodyReadFactor * e.Settings.Limits.BodyBytes})
+	e.httpServer = httpserve.New(listener, httpserve.Options{
+		MaxBody: bodyReadFactor * e.Settings.Limits.BodyBytes, Group: connlimit.NewGroup("callers", e.callerBounds()),
+	})
 	e.httpServer.Use(e.limitBody)
 	e.routes(e.httpServer)
 	e.spawn(func() { done <- e.httpServer.Run() })
 	return done, nil
 }
 
+// callerBounds bounds the connections of callers. The memory of the machine is not known, but a
+// body that is read must fit, with the memory for decoding it.
+func (e *Entry) callerBounds() connlimit.Bounds {
+	const decodedBodies = 4 * bodyReadFactor
+	derived := connlimit.Derive(0, connlimit.Descriptors()).Callers
+	return connlimit.Bounds{
+		Connections: e.Settings.Limits.Connections, Bytes: max(derived.Bytes, int64(decodedBodies*e.Settings.Limits.BodyBytes)),
+	}
+}
+
 // stopHTTP stops the HTTP server after the requests in flight, at the latest
 // after timeout.
 func (e *Entry) stopHTTP(timeout time.Duration) {
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -90,6 +90,7 @@
 		{"chunks of one byte", chunks + strings.Repeat("1\r\nx\r\n", 3000) + "0\r\n\r\n", []string{"3000"}},
 		{"trailers", chunks + "3\r\nabc\r\n0\r\nX-A: b\r\n\r\n" + get, []string{"3", "0"}},
 		{"announced over the limit", post(100_001), []string{"413", "closed"}},
+		{"announced over the limit, not sent whole", postHead + "Content-Length: 1000000\r\n\r\n" + strings.Repeat("x", 9000), []string{"413", "closed"}},
 		{"chunks over the limit", chunks + "186a1\r\n" + strings.Repeat("x", 100_001) + "\r\n0\r\n\r\n", []string{"413", "closed"}},
 		{"too much framing", chunks + strings.Repeat("1\r\nx\r\n", 20_000), []string{"400", "closed"}},
 		{"trailers over the limit", chunks + "0\r\n" + strings.Repeat("X-A: b\r\n", 3000), []string{"400", "closed"}},
@@ -179,6 +180,13 @@
 		_, held := group.Open()
 		assert.Assert(t, held <= 4<<20)
 	}
+	for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(time.Millisecond) {
+		if _, held := group.Open(); held >= 2<<20 {
+			break
+		}
+	}
+	_, held := group.Open()
+	assert.Assert(t, held >= 2<<20, "what is read of bodies must be counted: %d", held)
 	conn, r := dial(t, address)
 	_, _ = conn.Write([]byte(post(6000)))
 	assert.Equal(t, response(r), "6000")
--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"net"
 	"time"
 
@@ -65,12 +66,13 @@
 	}
 	c.entry.Sent(time.Now())
 	for rest := p[:n]; len(rest) > 0; {
-		var size int
+		var data int
 		var done bool
-		if size, rest, done = c.frame.next(rest); size > maxFrameBytes {
-			return 0, Error.New("frame of %d bytes", size)
+		data, rest, done = c.frame.next(rest)
+		if c.frame.left > maxFrameBytes {
+			return 0, Error.New("frame of %d bytes", c.frame.left)
 		}
-		c.message += int64(size)
+		c.message += int64(data)
 		if err := c.reserve(); err != nil {
 			return 0, Error.Wrap(err)
 		}
@@ -136,11 +138,11 @@
 // atStart reports whether the next byte begins a frame.
 func (f *frameParser) atStart() bool { return f.field == 0 }
 
-// next consumes bytes of one frame. It returns the length of its data when this becomes
-// known, and whether the frame is whole and the last one of a message.
-func (f *frameParser) next(p []byte) (size int, rest []byte, done bool) {
-	const data, more, bits, maxShift = 4, 0x80, 7, 63
-	for len(p) > 0 && f.field < data {
+// next consumes bytes of one frame. It returns how many of them are data, and whether the
+// frame is whole and the last one of a message.
+func (f *frameParser) next(p []byte) (data int, rest []byte, done bool) {
+	const dataField, more, bits, maxShift = 4, 0x80, 7, 63
+	for len(p) > 0 && f.field < dataField {
 		b := p[0]
 		p = p[1:]
 		if f.field == 0 {
@@ -152,21 +154,20 @@
 		}
 		f.shift += bits
 		if b&more == 0 || f.shift > maxShift {
-			if f.field++; f.field == data {
-				f.left = int(min(f.length, maxFrameBytes+1))
-				size = f.left
+			if f.field++; f.field == dataField {
+				f.left = int(min(f.length, math.MaxInt))
 			}
 			f.length, f.shift = 0, 0
 		}
 	}
-	if f.field < data {
-		return size, p, false
+	if f.field < dataField {
+		return 0, p, false
 	}
-	n := min(f.left, len(p))
-	f.left -= n
+	data = min(f.left, len(p))
+	f.left -= data
 	if f.left == 0 {
 		f.field = 0
-		return size, p[n:], f.last
+		return data, p[data:], f.last
 	}
-	return size, p[n:], false
+	return data, p[data:], false
 }
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -36,10 +38,10 @@
 			part := rest[:min(len(rest), 1+rng.IntN(100_000))]
 			rest = rest[len(part):]
 			for len(part) > 0 {
-				var size int
+				var data int
 				var done bool
-				size, part, done = f.next(part)
-				got += size
+				data, part, done = f.next(part)
+				got += data
 				if done {
 					ended++
 				}
@@ -85,8 +87,22 @@
 			}
 		}
 	}
+	for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(time.Millisecond) {
+		if _, held := group.Open(); held > 9<<20 { // 8 MB of them for the whole message
+			break
+		}
+	}
+	_, held := group.Open()
+	assert.Assert(t, held > 9<<20, "messages in progress must be counted: %d", held)
 	call(10)
 	call(2 << 20)
 	open, held := group.Open()
 	assert.Assert(t, open <= 10 && held <= 14<<20)
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_, _ = conn.Write([]byte{5, 1, 1, 0x80, 0x80, 0x80, 1}) // a frame of 2 MB
+	_, err = conn.Read(make([]byte, 1))
+	assert.Assert(t, err != nil && !errors.Is(err, os.ErrDeadlineExceeded), "a frame that no host sends must end the connection: %v", err)
 }
