fix: reserve three times the size of a peer's message

Change: a message in progress reserves three times its size.

TestCrowd passes; internal/peer passes with -race.

--- a/internal/peer/limit.go
+++ b/internal/peer/limit.go
@@ -15,8 +15,9 @@
 	// messageStep is the step in which memory is reserved for a message.
 	messageStep = 256 << 10
 	// messageFactor is the memory that receiving a message takes, as a multiple of its size:
-	// the buffer of drpc and the decoded message.
-	messageFactor = 2
+	// the buffer of drpc, its copy while it grows, and the decoded message. With 2, a crowd of
+	// 80 peers took up to 80 MB on a host with 96 MB beside other load.
+	messageFactor = 3
 	// freeMessageBytes is the size up to which messages need no reservation.
 	freeMessageBytes = connlimit.FreeBytes
 )
--- a/internal/peer/limit_test.go
+++ b/internal/peer/limit_test.go
@@ -88,12 +88,12 @@
 		}
 	}
 	for start := time.Now(); time.Since(start) < 10*time.Second; time.Sleep(time.Millisecond) {
-		if _, held := group.Open(); held > 9<<20 { // 8 MB of them for the whole message
+		if _, held := group.Open(); held > 13<<20 { // 12 MB of them for the whole message
 			break
 		}
 	}
 	_, held := group.Open()
-	assert.Assert(t, held > 9<<20, "messages in progress must be counted: %d", held)
+	assert.Assert(t, held > 13<<20, "messages in progress must be counted: %d", held)
 	call(10)
 	call(2 << 20)
 	open, held := group.Open()
