--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -16,6 +16,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,7 @@
 	"turmericspread.org/turmericspread/internal/boottime"
 	"turmericspread.org/turmericspread/internal/carrier"
 	"turmericspread.org/turmericspread/internal/cell"
+	"turmericspread.org/turmericspread/internal/connlimit"
 	"turmericspread.org/turmericspread/internal/control"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/kvstore"
@@ -72,6 +74,11 @@
 	// MemoryMB is the memory of the machine, which bounds the calls that are held
 	// during an outage of the store; 0: unknown.
 	MemoryMB int64
+	// PeerConnections bounds the connections and messages of other hosts. If it is nil,
+	// they are unbounded.
+	PeerConnections *connlimit.Group
+	// WriteMetrics, if set, writes further metrics.
+	WriteMetrics func(w io.Writer)
 	// MaxTablesAge is the age of the current configuration from which a request
 	// waits for a refresh.
 	MaxTablesAge time.Duration
@@ -217,6 +224,9 @@
 		return err
 	}
 	h.running.Store(true)
+	if h.PeerConnections != nil {
+		listener = peer.LimitListener(listener, h.PeerConnections)
+	}
 	runCtx, cancel := h.runCtx, h.abort
 	defer cancel()
 	h.spawn(func() { h.loop.Run(runCtx) })
