cell, sched: second runs for the last tasks of steps on slow workers

A task that starts while fast workers are full runs on a slow one to its end, and may make its job late although a fast worker is free soon after.

Every 200 ms the owner looks for steps whose last tasks on slow workers end too late for the job's deadline. Tasks of speculative steps get a copy on a faster worker; tasks with saved progress are moved if they gain twice the cost. This happens only if it lets the job be in time (or of use), for at most a fifth of the tasks of a step, and with capacity beyond the reserve for urgent work. A copy that finds no worker no longer holds up other tasks of its step.

--- a/internal/cell/assign.go
+++ b/internal/cell/assign.go
@@ -150,6 +150,9 @@
 			return ReasonReserve
 		}
 		i := o.choose(candidates, usable, t, need, now)
+		if i < 0 && len(t.runs) > 0 {
+			continue // the next task has no run yet, and may run on other workers than a copy
+		}
 		if i < 0 {
 			break
 		}
@@ -183,6 +186,7 @@
 func (o *Owner) choose(candidates []sched.Candidate, usable []*node, t *task, need sched.Need, now time.Duration) int {
 	if len(t.runs) > 0 {
 		need = sched.AnyGain // a copy is worth only what it gains
+		candidates = t.fastEnough(candidates)
 	}
 	if at := slices.Index(usable, t.failedOn); at >= 0 && t.failedOn.health.onProbation(now) && !t.failedOn.health.retrialDue(now) {
 		candidates = slices.Clone(candidates)
@@ -202,6 +206,20 @@
 	return sched.Choose(candidates, t.demand(), need)
 }
 
+// fastEnough returns the candidates that are fast enough for a copy of the task.
+func (t *task) fastEnough(candidates []sched.Candidate) []sched.Candidate {
+	if t.copySlowness == 0 {
+		return candidates
+	}
+	candidates = slices.Clone(candidates)
+	for i := range candidates {
+		if candidates[i].Slowness > t.copySlowness {
+			candidates[i].MaxTasks = 0
+		}
+	}
+	return candidates
+}
+
 // withinMaximum reports whether the team may run count more tasks of the step.
 func (o *Owner) withinMaximum(s *step, count int) bool {
 	team, maximum := s.job.spec.Team, o.teamMaximum(s.job)
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -85,7 +85,7 @@
 	observed       bool          // the run time of a run was observed
 	restarts       int           // times that a slow run was restarted elsewhere
 	stalls         int           // times that one of them made no progress
-	copyWanted     bool          // a speculative copy is requested
+	copyState
 	lastDetachedAt time.Duration
 	preemptions    int   // times that a run was stopped for work of a higher priority
 	failedOn       *node // worker on which it has failed; nil: none
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -224,6 +224,7 @@
 	}
 	o.drain(now)
 	o.evacuate(now)
+	o.rescue(now)
 }
 
 // scanNode frees the runs of the worker if its lease has expired without a response,
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -117,6 +117,7 @@
 	evacuated            map[string]bool            // data centres whose evacuation is requested
 	reportedEvacuations  map[string]bool            // those of them that were logged
 	nextMoves            time.Duration              // when runs may next be moved out of them
+	nextRescue           time.Duration              // when runs on slow workers may next get a second run
 	moveTurn             int                        // steps that were considered for moves, if there are many
 	removedFences        map[string]int64           // increments of the fencing token of removed workers, which may return
 	usage                map[string]resource.Vector // resources that runs occupy, by team
@@ -163,6 +164,7 @@
 	// Placements on workers that are slower or faster than the mean of their pool, and ones from
 	// which the task is not expected to end in time.
 	PlacedOnSlower, PlacedOnFaster, PlacedBeyondTime int64
+	FasterCopies, FasterMoves                        int64 // of runs on slow workers
 	SpeedsSaved                                      int64 // writes of the learned speeds
 	Passes, CandidatesChecked                        int64 // scheduling passes, and workers checked
 }
--- a/internal/cell/savedspeed_test.go
+++ b/internal/cell/savedspeed_test.go
@@ -40,9 +40,9 @@
 	return s
 }
 
-// submitFixed submits a job whose tasks take a second of work.
+// submitFixed submits a job whose tasks take as long as estimated.
 func (s *sim) submitFixed(queue, id string, steps ...work.Step) {
-	job := &work.Job{ID: id, Team: "team", Queue: queue, Steps: steps, Accepted: s.now, Payload: "1s", Policy: s.tables.Policy(queue, "team", nil)}
+	job := &work.Job{ID: id, Team: "team", Queue: queue, Steps: steps, Accepted: s.now, Payload: steps[0].Estimate.String(), Policy: s.tables.Policy(queue, "team", nil)}
 	s.jobs[id] = &simJob{spec: job}
 	s.owner.call(func() { s.owner.Accept(job) })
 }
--- a/internal/cell/speed.go
+++ b/internal/cell/speed.go
@@ -161,6 +161,19 @@
 	if s.spec.Estimate <= 0 || s.spec.LongRunning || s.spec.BestEffort {
 		return sched.Need{KeepFast: now < model.contestedUntil}
 	}
+	allowance := o.allowance(s, p, queried)
+	if _, slowest := p.speeds.Bounds(); allowance.Pace < slowest*sched.MinMargin {
+		model.contestedUntil = now + contestedTime
+	}
+	need := allowance.Need()
+	need.KeepFast = now < model.contestedUntil
+	return need
+}
+
+// allowance returns the time that is left to the job at a step that has an end.
+func (o *Owner) allowance(s *step, p *pool, queried bool) sched.Allowance {
+	j := s.job
+	model := o.speedOf(j.policy.Service)
 	bias := model.Bias(j.spec.Queue, j.spec.Team)
 	scale := func(d time.Duration) time.Duration { return time.Duration(bias * float64(d)) }
 	var query time.Duration
@@ -179,18 +192,13 @@
 	budget = j.policy.Target + scale(budget-j.policy.Target) + time.Duration(max(j.policy.Stretch, 1)*float64(s.jobChain)*float64(query))
 	left := submitted + budget - o.WallClock()
 	pace := float64(budget-time.Duration(s.jobChain)*(query+startOverhead)) / max(float64(scale(j.criticalPath)), 1)
-	fastest, slowest := p.speeds.Bounds()
-	if pace < slowest*sched.MinMargin {
-		model.contestedUntil = now + contestedTime
-	}
-	need := sched.Allowance{
+	fastest, _ := p.speeds.Bounds()
+	return sched.Allowance{
 		Pace: pace, Left: left, Useful: left + (sched.ExpiryFactor-1)*budget,
 		Rest: scale(s.remainingPath - s.spec.Estimate), RunTime: scale(s.spec.Estimate),
 		Margin: model.SlowestOf(j.spec.Queue, len(s.tasks)-s.tasksDone), Fastest: fastest,
 		Overhead: time.Duration(queries)*query + time.Duration(s.chain)*startOverhead,
-	}.Need()
-	need.KeepFast = now < model.contestedUntil
-	return need
+	}
 }
 
 // contestedTime is how long fast workers are kept free after a step of a job whose whole budget
--- a/internal/cell/straggler.go
+++ b/internal/cell/straggler.go
@@ -219,7 +219,7 @@
 // cancelCopy withdraws the request for a speculative copy.
 func (t *task) cancelCopy() {
 	if t.copyWanted {
-		t.copyWanted = false
+		t.copyWanted, t.copySlowness = false, 0
 		t.step.copiesWanted--
 	}
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -92,6 +92,7 @@
 	CellSpeedLearned       = define(1135, zerolog.InfoLevel, "speed of a kind of worker learned")
 	CellSpeedsRestored     = define(1136, zerolog.InfoLevel, "learned speeds restored from the store")
 	CellSpeedsUnusable     = define(1137, zerolog.WarnLevel, "learned speeds cannot be stored or restored")
+	CellSecondRun          = define(1138, zerolog.InfoLevel, "second run on a faster worker planned")
 	CellWorkerListed       = define(1140, zerolog.InfoLevel, "worker added to the worker list")
 	CellWorkerGone         = define(1141, zerolog.InfoLevel, "worker removed from the worker list")
 	CellWorkerRestarted    = define(1142, zerolog.WarnLevel, "worker restarted")
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -83,6 +83,8 @@
 	gauge("placed_on_slower_total", counters.PlacedOnSlower)
 	gauge("placed_on_faster_total", counters.PlacedOnFaster)
 	gauge("placed_beyond_time_total", counters.PlacedBeyondTime)
+	gauge("copies_on_faster_total", counters.FasterCopies)
+	gauge("moves_to_faster_total", counters.FasterMoves)
 	gauge("speeds_saved_total", counters.SpeedsSaved)
 	gauge("record_writes_total", counters.ProgressWrites)
 	gauge("record_writes_failed_total", counters.ProgressWritesFailed)
--- a/internal/logstory/parts.go
+++ b/internal/logstory/parts.go
@@ -72,6 +72,7 @@
 var runEvents = map[int]bool{
 	event.CellStart.Number: true, event.CellStartRefused.Number: true, event.CellStartUnknown.Number: true,
 	event.CellStop.Number: true, event.CellEnd.Number: true, event.CellRunLost.Number: true, event.CellStraggler.Number: true,
+	event.CellSecondRun.Number: true,
 }
 
 // recordRun applies a line about a run.
@@ -98,6 +99,8 @@
 		r.reason = stopReason(text)
 	case event.CellStraggler.Number:
 		r.stalled, r.copyPlanned = line.is("stalled"), line.is("copy")
+	case event.CellSecondRun.Number:
+		r.copyPlanned = line.is("copy")
 	case event.CellRunLost.Number:
 		r.endAt(line.time, "lost")
 	case event.CellEnd.Number:
@@ -134,6 +137,7 @@
 	for _, c := range []struct{ prefix, short string }{
 		{"preempted", "preempted"}, {"slower than", "straggler"}, {"a member of the gang", "broken gang"},
 		{"its data centre", "evacuated"}, {"the worker is draining", "drained"}, {"start not answered", "unanswered"},
+		{"a faster worker is free", "moved"},
 	} {
 		if strings.HasPrefix(text, c.prefix) {
 			return c.short
--- a/internal/sched/need.go
+++ b/internal/sched/need.go
@@ -69,9 +69,8 @@
 // no longer be in time may take until its result is useless, so that it leaves fast workers to
 // work that still can be.
 func (a Allowance) Need() Need {
-	margin := max(a.Margin, MinMargin)
-	n := Need{RunTime: time.Duration(float64(a.RunTime) * margin)}
-	rest := time.Duration(float64(a.Rest) * max(1, margin*a.Fastest))
+	n := Need{RunTime: time.Duration(float64(a.RunTime) * max(a.Margin, MinMargin))}
+	rest := a.restAfter()
 	fastest := time.Duration(float64(a.RunTime+a.Rest) * a.Fastest)
 	left, pace := a.Left-a.Overhead, a.Pace
 	if fastest > left {
@@ -85,6 +84,18 @@
 	return n
 }
 
+// restAfter returns the time that the rest of the job takes after the step.
+func (a Allowance) restAfter() time.Duration {
+	return time.Duration(float64(a.Rest) * max(1, max(a.Margin, MinMargin)*a.Fastest))
+}
+
+// EndOfStep returns within which time the step has to end for the job to be in time, and for its
+// result to be of use.
+func (a Allowance) EndOfStep() (inTime, useful time.Duration) {
+	rest := a.Overhead + a.restAfter()
+	return a.Left - rest, a.Useful - rest
+}
+
 // uniformSpeeds returns the sets of workers that are tried one after the other for tasks that
 // wait for each other: with KeepFast workers of one speed that are in time, the slowest first,
 // and then all workers up to one speed, the fastest first.
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -212,6 +212,14 @@
 	return math.Exp(bias)
 }
 
+// EstimateError returns the standard deviation of the estimates of a queue, as a logarithm.
+func (m *Model) EstimateError(queue string) float64 {
+	if q := m.queues[queue]; q != nil {
+		return math.Sqrt(q.error.value)
+	}
+	return initialError
+}
+
 // maxMargin bounds SlowestOf.
 const maxMargin = 3
 
