test: count the pages of both listings without a race

Cause: the listings of jobs and progress report their pages from two goroutines, and the test counted them in a plain variable, so it failed with -race. Change: an atomic counter.

--- a/internal/host/load_test.go
+++ b/internal/host/load_test.go
@@ -96,8 +96,8 @@
 			progressItem("08", 8, ended), progressItem("09", 9, ended), progressItem("0a", 10, ended),
 		),
 	}}
-	pages := 0
-	stored, watchFrom, err := hostOnStore(s).loadJobs(context.Background(), func() { pages++ })
+	var pages atomic.Int64 // both listings report their pages
+	stored, watchFrom, err := hostOnStore(s).loadJobs(context.Background(), func() { pages.Add(1) })
 	assert.NilError(t, err)
 	assert.Equal(t, watchFrom, int64(77))
 	var got []string
