sched: plan the upkeep of the machines of a wave

Cause: operators request the upkeep of many machines within a time. Each upkeep ends everything on its machine. Change: a pure planner chooses which machines are emptied, stopped and ordered next.

--- /dev/null
+++ b/internal/sched/upkeep.go
@@ -0,0 +1,179 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Upkeep decides which machines of a wave have their upkeep next. It is for a wave that takes
+// down many machines of a loaded pool within a given time: an upkeep ends everything on its
+// machine, so machines are emptied first, and the wave still has to end in time.
+type Upkeep struct {
+	Maximum  int           // machines that may be down for their upkeep at a time
+	Down     int           // machines that are down for it, or may be
+	Left     time.Duration // until the wave is due
+	Round    time.Duration // from the order of an upkeep until its machine is back
+	Machines []UpkeepMachine
+	// Waiting is the number of machines whose upkeep has not begun, besides Machines.
+	Waiting  int
+	Steps    []UpkeepStep
+	RackDown map[string]int // machines that are down, by rack
+}
+
+// UpkeepMachine is a machine whose upkeep has not begun and can be ordered.
+type UpkeepMachine struct {
+	Rack      string
+	Chosen    bool          // it gets no work already
+	ChosenFor time.Duration // for how long
+	Runs      int
+	Savable   int             // runs whose progress a stop saves, and that are not being stopped
+	Saving    bool            // such runs are being stopped
+	Ends      time.Duration   // until its work with an end that a stop does not save has ended
+	Lost      time.Duration   // work that an interruption repeats
+	Serving   []UpkeepServing // tasks of lasting steps that an interruption ends
+}
+
+// UpkeepServing is the number of tasks of a lasting step that are at work on a machine. Of a
+// gang it is the number of all its tasks at work.
+type UpkeepServing struct{ Step, Count int }
+
+// UpkeepStep is a lasting step that has tasks on machines of the wave.
+type UpkeepStep struct {
+	MaxAway int // how many of its tasks may be unavailable; counts as at least 1
+	Away    int // tasks that are not at work, for any cause
+}
+
+// UpkeepPlan names machines by their indexes.
+type UpkeepPlan struct {
+	Next  []int // get no more work
+	Stop  []int // runs whose progress is saved are stopped there
+	Order []int // have their upkeep now
+	// Pressed means that the wave would be late if machines were emptied first.
+	Pressed bool
+}
+
+const (
+	// upkeepPatience is the time after which a machine that is not empty has no precedence over
+	// other machines any more. Short tasks and moves of lasting tasks take less.
+	upkeepPatience = 5 * time.Second
+	// upkeepMargin is kept until the wave is due, for a takeover of the cell and for
+	// calls without a response.
+	upkeepMargin = 6 * time.Second
+	// upkeepRoundMargin is the factor by which rounds take longer than expected.
+	upkeepRoundMargin = 1.25
+	// upkeepSaveAhead is how long before the end of other work on a machine the runs whose
+	// progress is saved are stopped. A stop takes about as long.
+	upkeepSaveAhead = time.Second
+	// upkeepCostStep is the difference of costs below which machines count as equal, so that the
+	// rack decides.
+	upkeepCostStep = 500 * time.Millisecond
+)
+
+// Plan returns what to do now. While there is time, only empty machines have their upkeep.
+// Later the machines that cost least are interrupted. Tasks of a lasting step are never ended
+// while as many others of it are away as may be. It adds to Away and RackDown.
+func (u *Upkeep) Plan() (plan UpkeepPlan) {
+	rounds := (len(u.Machines) + u.Waiting + u.Maximum - 1) / max(u.Maximum, 1)
+	need := time.Duration(float64(rounds) * upkeepRoundMargin * float64(u.Round))
+	plan.Pressed = u.Left <= need+upkeepMargin
+	slots := max(u.Maximum-u.Down, 0)
+	count := slots
+	if u.Left <= 2*need+upkeepMargin {
+		count += u.Maximum // the next machines are emptied while others are down
+	}
+	plan.Next = u.next(count)
+	for _, i := range plan.Next {
+		m := &u.Machines[i]
+		if slots <= 0 {
+			break
+		}
+		switch u.step(m, plan.Pressed) {
+		case upkeepStop:
+			plan.Stop = append(plan.Stop, i)
+		case upkeepOrder:
+			for _, serving := range m.Serving {
+				u.Steps[serving.Step].Away += serving.Count
+			}
+			plan.Order = append(plan.Order, i)
+		case upkeepSave:
+		default:
+			continue
+		}
+		slots--
+	}
+	return plan
+}
+
+// upkeepAction is what happens to a machine whose turn it is.
+type upkeepAction int
+
+const (
+	upkeepWait  upkeepAction = iota // other machines may have their upkeep before it
+	upkeepSave                      // as upkeepWait, but it keeps its place
+	upkeepStop                      // runs whose progress is saved are stopped
+	upkeepOrder                     // its upkeep begins
+)
+
+// step returns what happens to a machine next. A machine that has just been chosen is not
+// interrupted: its short tasks may be about to end.
+func (u *Upkeep) step(m *UpkeepMachine, pressed bool) upkeepAction {
+	switch {
+	case m.Runs == 0:
+		return upkeepOrder
+	case !m.Chosen:
+		return upkeepWait
+	case m.Savable > 0 && (pressed || m.Ends <= upkeepSaveAhead):
+		return upkeepStop
+	case m.Saving:
+		return upkeepSave
+	case !pressed || m.Ends > 0 && m.Ends <= upkeepSaveAhead && m.keepsTurn() || !u.mayInterrupt(m):
+		return upkeepWait
+	}
+	return upkeepOrder
+}
+
+// mayInterrupt reports whether all tasks of lasting steps on the machine may end at once.
+func (u *Upkeep) mayInterrupt(m *UpkeepMachine) bool {
+	return !slices.ContainsFunc(m.Serving, func(serving UpkeepServing) bool {
+		s := &u.Steps[serving.Step]
+		return s.Away+serving.Count > max(s.MaxAway, 1)
+	})
+}
+
+// next returns the machines with the least cost, in the order of preference. Among equal ones it
+// takes racks in turn, so that data stays reachable on other machines of a rack.
+func (u *Upkeep) next(count int) (next []int) {
+	racks := map[string]int{}
+	for rack, down := range u.RackDown {
+		racks[rack] = down
+	}
+	left := make([]int, len(u.Machines))
+	for i := range left {
+		left[i] = i
+	}
+	for len(next) < count && len(left) > 0 {
+		best := slices.MinFunc(left, func(a, b int) int {
+			return cmp.Or(u.Machines[a].compareCost(&u.Machines[b]), cmp.Compare(racks[u.Machines[a].Rack], racks[u.Machines[b].Rack]), a-b)
+		})
+		next = append(next, best)
+		racks[u.Machines[best].Rack]++
+		left = slices.DeleteFunc(left, func(i int) bool { return i == best })
+	}
+	return next
+}
+
+// compareCost orders machines by the cost of their upkeep. A machine that was chosen keeps its
+// precedence for a time, so that what was emptied for it is not wasted.
+func (m *UpkeepMachine) compareCost(other *UpkeepMachine) int {
+	return cmp.Or(
+		compareBool(other.Runs == 0 && other.Chosen, m.Runs == 0 && m.Chosen),
+		compareBool(other.keepsTurn(), m.keepsTurn()),
+		compareBool(len(m.Serving) > 0, len(other.Serving) > 0),
+		compareBool(m.Runs > 0, other.Runs > 0),
+		cmp.Compare(m.Ends/upkeepCostStep, other.Ends/upkeepCostStep),
+		cmp.Compare(m.Lost/upkeepCostStep, other.Lost/upkeepCostStep),
+	)
+}
+
+func (m *UpkeepMachine) keepsTurn() bool { return m.Chosen && m.ChosenFor < upkeepPatience }
