cell: upkeep of machines in waves

Cause: operators request the upkeep of machines in waves. Change: the owner empties machines that are next, records each order in a row before the first call, repeats calls without a response, and counts machines as down until they are back.

--- a/internal/cell/evacuate.go
+++ b/internal/cell/evacuate.go
@@ -97,11 +97,12 @@
 	return 0
 }
 
-// evacuate stops runs in evacuated data centres that continue elsewhere. Nothing is moved
+// evacuate stops runs in evacuated data centres, and on machines that are next in a wave, that
+// continue elsewhere. Nothing is moved
 // while their tasks could not be started at once: without the store, by an old list, and while
 // a former owner may act or its runs are not resolved.
 func (o *Owner) evacuate(now time.Duration) {
-	if len(o.evacuated) == 0 || now < o.nextMoves || !o.StoreUp() || !o.listIsFresh(now) || o.passive(now) || now < o.resolveUntil {
+	if len(o.evacuated) == 0 && len(o.waves) == 0 || now < o.nextMoves || !o.StoreUp() || !o.listIsFresh(now) || o.passive(now) || now < o.resolveUntil {
 		return
 	}
 	o.nextMoves = now + moveInterval
@@ -125,7 +126,7 @@
 func (o *Owner) stepsToMove() (steps map[string][]*step) {
 	found := map[*step]bool{}
 	for _, n := range o.sortedNodes {
-		if !n.evacuated {
+		if !n.vacated() || n.upkeepOrdered {
 			continue
 		}
 		for _, r := range n.runs {
@@ -174,7 +175,7 @@
 
 // serves reports whether a run of a lasting task is known to serve its users.
 func (r *run) serves() bool {
-	return r.state == runLive && r.serving && !r.stopping && r.node.responded && r.node.missedRenewals == 0
+	return r.state == runLive && r.serving && !r.stopping && !r.node.upkeepOrdered && r.node.responded && r.node.missedRenewals == 0
 }
 
 // moveRuns stops runs of steps of one service and returns how many.
@@ -199,7 +200,11 @@
 	}
 	for _, move := range e.Plan() {
 		o.Counters.RunsMoved++
-		o.stopRun(runs[move.Step][move.Run], "its data centre is evacuated")
+		r, reason := runs[move.Step][move.Run], "its data centre is evacuated"
+		if r.node.upkeep {
+			reason = "its machine is next for upkeep"
+		}
+		o.stopRun(r, reason)
 		count++
 	}
 	return count
@@ -237,7 +242,7 @@
 	}
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
-			if !o.movable(r) || !s.spec.Gang && !r.node.evacuated {
+			if !o.movable(r) || !s.spec.Gang && (!r.node.vacated() || r.node.upkeepOrdered) {
 				continue
 			}
 			move := sched.MoveRun{Serving: r.serves(), SavedAge: math.MaxInt64 / 2}
--- a/internal/cell/list.go
+++ b/internal/cell/list.go
@@ -118,6 +118,7 @@
 	n.worker = w
 	n.listed = true
 	n.evacuated = o.evacuated[w.Place]
+	o.markUpkeep(n)
 	n.coldUntil = o.workersListedAt + w.ColdLeft
 	o.updateSpeed(n)
 	if w.Draining {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -48,6 +48,8 @@
 	leaveAt        time.Duration // earliest time at which a draining worker leaves
 	coldUntil      time.Duration // until when it is slow after its start
 	evacuated      bool          // its data centre is evacuated
+	upkeep         bool          // its machine is next in a wave, or has its upkeep
+	upkeepOrdered  bool          // its machine may have its upkeep at any moment
 
 	renewing         bool
 	nextRenewal      time.Duration
@@ -168,9 +170,12 @@
 
 // available reports whether the worker could be given work, unless it is quarantined.
 func (n *node) available(now time.Duration) bool {
-	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && !n.evacuated && now >= n.cooldownUntil
+	return n.responded && n.listed && n.described() && n.missedRenewals == 0 && !n.worker.Draining && !n.vacated() && now >= n.cooldownUntil
 }
 
+// vacated reports whether the worker gets no more work because of an operator's request.
+func (n *node) vacated() bool { return n.evacuated || n.upkeep }
+
 // described reports whether the list entry is that of the worker's current incarnation.
 // After a restart the worker may have other labels and another capacity, and it may
 // respond before its entry is read.
@@ -221,6 +226,7 @@
 	}
 	o.drain(now)
 	o.evacuate(now)
+	o.maintain(now)
 }
 
 // scanNode frees the runs of the worker if its lease has expired without a response,
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -38,6 +38,8 @@
 	Retention          time.Duration // how long an ended job can be queried
 	RemoteDataSlowdown float64       // slowdown factor of a task that does not run near its data
 	StoreGrace         time.Duration // how long a worker may be missing from the list after a store outage
+	Maintenance        time.Duration // from the beginning of a machine's upkeep until its new worker joins
+	UpkeepRate         float64       // calls for the upkeep of machines that the platform accepts a second
 }
 
 // ProgressWrite is a write of one job's progress record.
@@ -100,6 +102,12 @@
 	// DeleteJobs removes everything that is stored of jobs that ended long ago.
 	DeleteJobs func(ids []string, done func(ok bool))
 
+	// OrderUpkeep orders the upkeep of a machine; nil: there is no platform that offers it.
+	OrderUpkeep func(request work.UpkeepRequest, done func(error))
+	// SaveWaves writes the row of the waves and the states of some of them by name: either
+	// all of it takes effect or nothing. Calls do not overlap.
+	SaveWaves func(row []byte, states map[string]WaveState, done func(ok bool))
+
 	// OnStepStarted receives the time from when a step could run to the start of its
 	// first task, OnJobEnded the age of a job at its end.
 	OnStepStarted func(queue string, waited time.Duration)
@@ -118,6 +126,8 @@
 	reportedEvacuations  map[string]bool            // those of them that were logged
 	nextMoves            time.Duration              // when runs may next be moved out of them
 	moveTurn             int                        // steps that were considered for moves, if there are many
+	waves                map[string]*wave           // requests for the upkeep of machines, by name
+	upkeep               upkeepState
 	removedFences        map[string]int64           // increments of the fencing token of removed workers, which may return
 	usage                map[string]resource.Vector // resources that runs occupy, by team
 	unresolved           resource.Vector            // capacity that unresolved runs of the predecessor may use
@@ -156,7 +166,8 @@
 type Counters struct {
 	Starts, StartsRefused, StartsUnknown, Stops, Renewals, RenewalsMissed     int64
 	RunsDone, RunsFailed, RunsEndedOtherwise, RunsLost, Preempted, Stragglers int64
-	RunsMoved                                                                 int64 // out of evacuated data centres
+	RunsMoved                                                                 int64 // out of evacuated data centres and from machines before their upkeep
+	UpkeepCalls, UpkeepsBegun, UpkeepRefused, UpkeepUnknown                   int64
 	ProgressWrites, ProgressWritesFailed, AdviceQueries, AdviceQueriesFailed  int64
 	// Placements on workers that are slower or faster than the mean of their pool, and ones from
 	// which the task is not expected to end in time.
@@ -181,6 +192,7 @@
 		deleted:          map[string]deletedJob{},
 		unrecorded:       map[*job]int64{},
 		removedFences:    map[string]int64{},
+		waves:            map[string]*wave{},
 		runTimeRatios:    runningMeans{},
 		allowedFractions: runningMeans{},
 		speeds:           map[string]*poolSpeed{},
--- a/internal/cell/sim_test.go
+++ b/internal/cell/sim_test.go
@@ -47,6 +47,7 @@
 	asksPeers        bool                     // owners start nothing without a record if a host has access to the store
 	processor        processor                // of the owners
 	adviser          simAdviser
+	cloud            simCloud
 	// loseResponse and delayRequest are the probabilities of these faults per request.
 	loseResponse, delayRequest float64
 }
@@ -248,6 +249,7 @@
 	o.Restore(stored)
 	o.RestoreWorkers(s.directory)
 	o.SetEvacuated(slices.Collect(maps.Keys(s.evacuated)))
+	s.cloud.connect(o)
 	o.SetWorkers(s.list(), s.now)
 	o.tick()
 	o.refreshWorkers()
@@ -272,6 +274,7 @@
 		list, evacuated, asOf := o.sim.list(), slices.Collect(maps.Keys(o.sim.evacuated)), o.sim.now
 		apply := func() {
 			o.SetEvacuated(evacuated)
+			o.sim.cloud.refresh(o, asOf)
 			o.SetWorkers(list, asOf)
 			if o.sim.store.ownerRev == o.rowRevision {
 				o.ConfirmOwnership(asOf)
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -17,6 +17,7 @@
 	Pool      string
 	Place     string // data centre
 	Rack      string
+	Machine   string // of which the worker is one life; empty: unknown
 	Kind      string // label of the kind of machine; empty: unknown
 	Labels    []string
 	Capacity  resource.Vector
@@ -178,6 +179,14 @@
 	ErrRestarted        = errs.New("worker: started again, order not sent")
 )
 
+// Refusals of the upkeep of a machine, after which it has not begun. ErrFenced and ErrNotSent
+// are others.
+var (
+	ErrMachineBusy    = errs.New("machine: not up, or leaving")
+	ErrMachineUnknown = errs.New("machine: there is none, or it is not of the wave")
+	ErrTooManyCalls   = errs.New("machine: too many calls")
+)
+
 // Refusals returns the errors that guarantee that the request was not executed.
 // Their order is fixed because carriers transmit a refusal as an index into
 // this list.
