sched, cell: begin early with lasting tasks that cannot be moved

Cause: lasting tasks that cannot move end one after the other, and each was away until the lease of its former worker ended, so a wave of them was late. Change: the planner counts their rounds, and runs of the former worker end once the next worker of the machine responds.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -233,7 +233,7 @@
 // repeats stops that are not resolved, and sends the next renewal when it is due.
 func (o *Owner) scanNode(n *node, now time.Duration) {
 	if len(n.runs) > 0 && now >= n.leaseExpiry && !o.passive(now) && (n.missedRenewals != 0 || !n.responded) {
-		o.expireLease(n, now)
+		o.expireLease(n, now, "the worker's lease has ended")
 	}
 	for _, r := range sortedRuns(n) {
 		if r.stopping && r.state != runPlanned && !r.stopInFlight && now-r.stopSentAt >= stopRetryInterval {
@@ -245,13 +245,13 @@
 	}
 }
 
-// expireLease frees the runs of a worker whose lease must have expired. If the
+// expireLease frees the runs of a worker whose lease must have expired or that has ended. If the
 // worker returns, it has to respond under a higher fencing token first.
-func (o *Owner) expireLease(n *node, now time.Duration) {
+func (o *Owner) expireLease(n *node, now time.Duration, reason string) {
 	n.fenceSeq++
 	n.responded, n.resolved = false, false
 	for _, r := range sortedRuns(n) {
-		o.loseRun(r, "the worker's lease has ended")
+		o.loseRun(r, reason)
 	}
 	n.nextRenewal = max(n.nextRenewal, now)
 }
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -120,13 +120,13 @@
 	jobs                 map[string]*job
 	active               []*job // not terminal, by age
 	nodes                map[string]*node
-	workersListedAt      time.Duration              // when the reading of the last worker list began
-	sortedNodes          []*node                    // by ID
-	evacuated            map[string]bool            // data centres whose evacuation is requested
-	reportedEvacuations  map[string]bool            // those of them that were logged
-	nextMoves            time.Duration              // when runs may next be moved out of them
-	moveTurn             int                        // steps that were considered for moves, if there are many
-	waves                map[string]*wave           // requests for the upkeep of machines, by name
+	workersListedAt      time.Duration    // when the reading of the last worker list began
+	sortedNodes          []*node          // by ID
+	evacuated            map[string]bool  // data centres whose evacuation is requested
+	reportedEvacuations  map[string]bool  // those of them that were logged
+	nextMoves            time.Duration    // when runs may next be moved out of them
+	moveTurn             int              // steps that were considered for moves, if there are many
+	waves                map[string]*wave // requests for the upkeep of machines, by name
 	upkeep               upkeepState
 	removedFences        map[string]int64           // increments of the fencing token of removed workers, which may return
 	usage                map[string]resource.Vector // resources that runs occupy, by team
--- a/internal/cell/sim_cloud_test.go
+++ b/internal/cell/sim_cloud_test.go
@@ -7,8 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/zeebo/errs"
-
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -135,7 +133,7 @@
 		return work.ErrMachineBusy
 	}
 	if at < 0 || !slices.Contains(c.waves[at].Machines, request.Machine) {
-		return errs.Combine(work.ErrMachineUnknown)
+		return work.ErrOtherWave
 	}
 	if len(c.down) >= c.waves[at].Maximum {
 		s.fatalf("the upkeep of %s begins while %d machines are down", request.Machine, len(c.down))
@@ -146,7 +144,8 @@
 	s.tracef("upkeep of %s (%s) begins with %d runs", request.Machine, w.worker.ID, len(w.runs))
 	c.done[key], c.down[request.Machine], c.begun = true, s.now, append(c.begun, request.Machine)
 	c.inUpkeepAt = max(c.inUpkeepAt, len(c.down))
-	w.down, w.gone = true, true
+	entry := w.worker
+	w.staleEntry, w.down, w.gone = &entry, true, true
 	w.worker.Born++
 	w.runs, w.waiters = map[string]*simRun{}, nil
 	s.after(time.Second, func() { w.unlisted = true })
--- a/internal/cell/upkeep.go
+++ b/internal/cell/upkeep.go
@@ -95,6 +95,7 @@
 func (o *Owner) isBack(name string, rec *upkeepRecord, nodes []*node, now time.Duration) bool {
 	for _, n := range nodes {
 		if (n.worker.ID != rec.worker || n.worker.Born != rec.born) && n.responded && n.described() && n.confirmedAt > rec.begunAt {
+			o.endLife(rec, now)
 			return true
 		}
 	}
@@ -106,6 +107,16 @@
 	return !listed && len(nodes) == 0 || m.State == work.MachineUp && (m.Worker != "" && m.Worker != rec.worker || late)
 }
 
+// endLife frees the runs of the worker whose machine had its upkeep, once the next worker of the
+// machine has responded: a machine has one worker at a time. The confirmation of the
+// upkeep alone may be that of an earlier one.
+func (o *Owner) endLife(rec *upkeepRecord, now time.Duration) {
+	n := o.nodes[rec.worker]
+	if n != nil && n.incarnation == rec.born && len(n.runs) > 0 && !o.passive(now) {
+		o.expireLease(n, now, "its machine had its upkeep")
+	}
+}
+
 // isGone reports whether a machine does not stay: the platform lists it no more.
 func (o *Owner) isGone(name string, nodes []*node, now time.Duration) bool {
 	_, listed := o.upkeep.machines[name]
@@ -190,7 +201,7 @@
 		n := nodes[name][0]
 		m := o.upkeepMachine(n, &u, steps, now)
 		if since, ok := w.chosen[name]; ok {
-			m.Chosen, m.ChosenFor = true, now-since
+			m.Chosen, m.ChosenFor = true, max(now-max(since, o.resolveUntil), 0) // nothing is moved before
 		}
 		u.Machines, candidates = append(u.Machines, m), append(candidates, n)
 	}
--- a/internal/cell/upkeep_order.go
+++ b/internal/cell/upkeep_order.go
@@ -128,10 +128,11 @@
 	rec.nextCall = now + upkeepRetry
 	refused := true
 	switch {
-	case errs.Is(err, work.ErrMachineUnknown):
+	case errs.Is(err, work.ErrOtherWave):
 		rec.phase = upkeepExcluded
 		o.upkeep.version++
-	case errs.Is(err, work.ErrMachineBusy) || errs.Is(err, work.ErrFenced):
+	case errs.Is(err, work.ErrMachineBusy) || errs.Is(err, work.ErrMachineUnknown) || errs.Is(err, work.ErrFenced):
+		// Whether an unknown machine is gone is decided by the list of machines.
 		rec.nextCall = now + busyRetry
 		if !rec.uncertain {
 			o.withdraw(w, name, now)
--- a/internal/sched/upkeep.go
+++ b/internal/sched/upkeep.go
@@ -65,6 +65,10 @@
 	// upkeepSaveAhead is how long before the end of other work on a machine the runs whose
 	// progress is saved are stopped. A stop takes about as long.
 	upkeepSaveAhead = time.Second
+	// upkeepRestart is how long lasting tasks are away beyond the upkeep of their machine.
+	upkeepRestart = 2 * time.Second
+	// upkeepMoveTime is the time in which a lasting task is moved if there is capacity for it.
+	upkeepMoveTime = 2 * time.Second
 	// upkeepCostStep is the difference of costs below which machines count as equal, so that the
 	// rack decides.
 	upkeepCostStep = 500 * time.Millisecond
@@ -76,19 +80,24 @@
 func (u *Upkeep) Plan() (plan UpkeepPlan) {
 	rounds := (len(u.Machines) + u.Waiting + u.Maximum - 1) / max(u.Maximum, 1)
 	need := time.Duration(float64(rounds) * upkeepRoundMargin * float64(u.Round))
+	needLasting := time.Duration(float64(u.lastingRounds()) * upkeepRoundMargin * float64(u.Round+upkeepRestart))
 	plan.Pressed = u.Left <= need+upkeepMargin
+	pressedLasting := u.Left <= needLasting+upkeepMargin
 	slots := max(u.Maximum-u.Down, 0)
 	count := slots
-	if u.Left <= 2*need+upkeepMargin {
+	if u.Left <= 2*max(need, needLasting)+upkeepMargin {
 		count += u.Maximum // the next machines are emptied while others are down
 	}
-	plan.Next = u.next(count)
+	if pressedLasting {
+		plan.Next = u.interruptible((slots + 1) / 2)
+	}
+	plan.Next = u.next(plan.Next, count)
 	for _, i := range plan.Next {
 		m := &u.Machines[i]
 		if slots <= 0 {
 			break
 		}
-		switch u.step(m, plan.Pressed) {
+		switch u.step(m, plan.Pressed || pressedLasting && len(m.Serving) > 0 && m.ChosenFor >= upkeepMoveTime) {
 		case upkeepStop:
 			plan.Stop = append(plan.Stop, i)
 		case upkeepOrder:
@@ -105,6 +114,38 @@
 	return plan
 }
 
+// lastingRounds returns in how many rounds the tasks of lasting steps would end if none of them
+// could be moved.
+func (u *Upkeep) lastingRounds() (rounds int) {
+	counts := make([]int, len(u.Steps))
+	for i := range u.Machines {
+		for _, serving := range u.Machines[i].Serving {
+			counts[serving.Step] += serving.Count
+		}
+	}
+	for i, count := range counts {
+		allowed := max(u.Steps[i].MaxAway, 1)
+		rounds = max(rounds, (count+allowed-1)/allowed)
+	}
+	return rounds
+}
+
+// interruptible returns at most count machines whose lasting tasks may end together.
+func (u *Upkeep) interruptible(count int) (list []int) {
+	trial := Upkeep{Steps: slices.Clone(u.Steps)}
+	for i := range u.Machines {
+		m := &u.Machines[i]
+		if len(list) >= count || len(m.Serving) == 0 || !trial.mayInterrupt(m) {
+			continue
+		}
+		for _, serving := range m.Serving {
+			trial.Steps[serving.Step].Away += serving.Count
+		}
+		list = append(list, i)
+	}
+	return list
+}
+
 // upkeepAction is what happens to a machine whose turn it is.
 type upkeepAction int
 
@@ -141,16 +182,18 @@
 	})
 }
 
-// next returns the machines with the least cost, in the order of preference. Among equal ones it
-// takes racks in turn, so that data stays reachable on other machines of a rack.
-func (u *Upkeep) next(count int) (next []int) {
+// next adds machines to those given until there are count, with the least cost first. Among equal
+// ones it takes racks in turn, so that data stays reachable on other machines of a rack.
+func (u *Upkeep) next(next []int, count int) []int {
 	racks := map[string]int{}
 	for rack, down := range u.RackDown {
 		racks[rack] = down
 	}
-	left := make([]int, len(u.Machines))
-	for i := range left {
-		left[i] = i
+	var left []int
+	for i := range u.Machines {
+		if !slices.Contains(next, i) {
+			left = append(left, i)
+		}
 	}
 	for len(next) < count && len(left) > 0 {
 		best := slices.MinFunc(left, func(a, b int) int {
--- a/internal/sched/upkeep_test.go
+++ b/internal/sched/upkeep_test.go
@@ -35,7 +35,7 @@
 		{"at most maximum", Upkeep{Maximum: 2, Machines: all(empty, empty, empty)}, []int{0, 1}, nil, []int{0, 1}},
 		{"others are down", Upkeep{Maximum: 2, Down: 1, Machines: all(empty, empty)}, []int{0}, nil, []int{0}},
 		{"more are down than allowed", Upkeep{Maximum: 1, Down: 2, Machines: all(empty, empty)}, nil, nil, nil},
-		{"empty machines first", Upkeep{Maximum: 1, Machines: all(lasting(1), short(s), empty)}, []int{2}, nil, []int{2}},
+		{"empty machines first", Upkeep{Maximum: 1, Machines: all(lasting(1), short(s), empty), Steps: steps(1, 0)}, []int{2}, nil, []int{2}},
 		{"least work first", Upkeep{Maximum: 1, Machines: all(short(9*s), short(2*s))}, []int{1}, nil, nil},
 		{"an empty machine that was chosen first", Upkeep{Maximum: 1, Machines: all(empty, chosen(empty, 9*s))}, []int{1}, nil, []int{1}},
 		{"saved work first", Upkeep{Maximum: 1, Machines: all(saving(9*s), saving(0))}, []int{1}, nil, nil},
@@ -52,6 +52,10 @@
 		{"lasting task whose step is at its limit", Upkeep{Maximum: 1, Left: -s, Machines: all(chosen(lasting(1), s)), Round: 3 * s, Steps: steps(1, 1)}, []int{0}, nil, nil},
 		{"more tasks than the limit", Upkeep{Maximum: 1, Left: -s, Machines: all(chosen(lasting(2), s)), Round: 3 * s, Steps: steps(1, 0)}, []int{0}, nil, nil},
 		{"one machine after the other", Upkeep{Maximum: 2, Left: -s, Machines: all(chosen(lasting(1), s), chosen(lasting(1), s)), Round: 3 * s, Steps: steps(1, 0)}, []int{0, 1}, nil, []int{0}},
+		{"lasting tasks that end in many rounds begin early", Upkeep{Maximum: 2, Left: 24 * s, Machines: all(chosen(lasting(1), 2*s),
+			chosen(lasting(1), 2*s), chosen(lasting(1), s), chosen(short(4*s), s)), Round: 3 * s, Steps: steps(1, 0)}, []int{0, 3, 1, 2}, nil, []int{0}},
+		{"but may move first", Upkeep{Maximum: 2, Left: 24 * s, Machines: all(chosen(lasting(1), s), chosen(lasting(1), s), chosen(lasting(1), s)),
+			Round: 3 * s, Steps: steps(1, 0)}, []int{0, 1, 2}, nil, nil},
 		{"emptied ahead when time is short", Upkeep{Maximum: 1, Down: 1, Left: 12 * s, Round: 3 * s, Machines: all(empty, empty)}, []int{0}, nil, nil},
 	}
 	for _, tc := range tests {
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -183,7 +183,8 @@
 // are others.
 var (
 	ErrMachineBusy    = errs.New("machine: not up, or leaving")
-	ErrMachineUnknown = errs.New("machine: there is none, or it is not of the wave")
+	ErrMachineUnknown = errs.New("machine: there is none")
+	ErrOtherWave      = errs.New("machine: not of the wave")
 	ErrTooManyCalls   = errs.New("machine: too many calls")
 )
 
