host, platform: waves from the store and the platform's machines

Cause: the owner plans upkeep, but nothing passed it the requests or made its calls. Settings: [cloud] and maintenance-s; without an address nothing is read or called.

--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -122,14 +122,16 @@
 // has read.
 func (h *Host) takeOver(ctx context.Context, row ownerRow, revision int64, observed ownerRow, former predecessor, progressed func()) (err error) {
 	var stored []cell.StoredJob
-	var workers, directory []work.Worker
-	var evacuated []string
+	var list listing
+	var directory []work.Worker
+	var waves kvstore.Item
 	var watchFrom int64
 	listed := bootClock()
 	err = runConcurrently(
 		func() (err error) { stored, watchFrom, err = h.loadJobs(ctx, progressed); return err },
-		func() (err error) { workers, evacuated, err = h.readWorkers(ctx); return err },
+		func() (err error) { list, err = h.readWorkers(ctx); return err },
 		func() (err error) { directory, err = h.formerWorkers(ctx); return err },
+		func() (err error) { waves, err = h.loadWaves(ctx); return err },
 	)
 	if err != nil {
 		return err
@@ -142,15 +144,15 @@
 		h.currentOwner, h.ownerRowRevision, h.ownerRowRead = row, revision, true
 		h.ownerSuspicion = suspicion{}
 		h.carrierClient, h.carrierAddresses = h.newCarrierClient(), nil
-		h.chooseCarriers(max(len(workers), len(directory)))
+		h.chooseCarriers(max(len(list.workers), len(directory)))
 		h.cellOwner = h.newOwner(ownerCtx, row, revision)
+		h.connectCloud(ownerCtx, h.cellOwner, revision, waves)
 		h.cellOwner.Predecessor, h.cellOwner.PredecessorAlive = former.starts, former.alive
 		h.cellOwner.PredecessorRecordedUntil = h.recordedUntil(observed)
 		h.cancelOwner = cancel
 		h.cellOwner.Restore(stored)
 		h.cellOwner.RestoreWorkers(directory)
-		h.cellOwner.SetEvacuated(evacuated)
-		h.cellOwner.SetWorkers(workers, listed)
+		list.apply(h.cellOwner, listed)
 		h.cellOwner.Tick()
 		h.publishView()
 	})
@@ -159,6 +161,7 @@
 		return callErr
 	}
 	h.spawn(func() { h.followWorkers(ownerCtx, revision) })
+	h.spawn(func() { h.followMachines(ownerCtx) })
 	h.spawn(func() { h.followJobs(ownerCtx, watchFrom) })
 	h.spawn(func() { h.writeLivenessMarkers(ownerCtx, revision) })
 	h.spawn(func() { h.handOverToBetterHost(ownerCtx) })
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -52,18 +52,17 @@
 	for ctx.Err() == nil {
 		sleep(ctx, interval)
 		asOf := bootClock()
-		workers, evacuated, err := h.readWorkers(ctx)
+		listed, err := h.readWorkers(ctx)
 		if err != nil {
 			continue
 		}
-		interval = listInterval(len(workers), bootClock()-asOf)
+		interval = listInterval(len(listed.workers), bootClock()-asOf)
 		var list []work.Worker
 		var due bool
 		err = h.loop.Call(ctx, func() {
 			if h.cellOwner != nil {
-				h.chooseCarriers(len(workers))
-				h.cellOwner.SetEvacuated(evacuated)
-				h.cellOwner.SetWorkers(workers, asOf)
+				h.chooseCarriers(len(listed.workers))
+				listed.apply(h.cellOwner, asOf)
 				list, due = h.cellOwner.WorkerDirectory()
 				h.cellOwner.Tick()
 			}
@@ -152,18 +151,33 @@
 	return workers, nil
 }
 
-// readWorkers concurrently reads the worker list and the evacuated data centres. Both are
-// as old as the beginning of the call. If either cannot be read, neither is returned, so that
-// no evacuation request is missing in what the owner takes for a fresh list.
-func (h *Host) readWorkers(ctx context.Context) (workers []work.Worker, evacuated []string, err error) {
+// listing is the worker list with the operators' requests.
+type listing struct {
+	workers   []work.Worker
+	evacuated []string // data centres
+	waves     []work.Wave
+}
+
+// apply passes the listing, whose reading began at asOf, to an owner.
+func (l *listing) apply(o *cell.Owner, asOf time.Duration) {
+	o.SetEvacuated(l.evacuated)
+	o.SetWaves(l.waves)
+	o.SetWorkers(l.workers, asOf)
+}
+
+// readWorkers concurrently reads the worker list and the operators' requests. All are as old
+// as the beginning of the call. If one of them cannot be read, none is returned, so that no
+// request is missing in what the owner takes for a fresh list.
+func (h *Host) readWorkers(ctx context.Context) (l listing, err error) {
 	err = runConcurrently(
-		func() (err error) { workers, err = h.listWorkers(ctx); return err },
-		func() (err error) { evacuated, err = h.listEvacuations(ctx); return err },
+		func() (err error) { l.workers, err = h.listWorkers(ctx); return err },
+		func() (err error) { l.evacuated, err = h.listEvacuations(ctx); return err },
+		func() (err error) { l.waves, err = h.listWaves(ctx); return err },
 	)
 	if err != nil {
-		return nil, nil, err
+		return listing{}, err
 	}
-	return workers, evacuated, nil
+	return l, nil
 }
 
 // listEvacuations reads the names of the data centres whose evacuation is requested. The
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -52,8 +52,14 @@
 	// EvacuationsPrefix is that of the keys that request the evacuation of the data
 	// centre that the rest of the key names; empty: there are none.
 	EvacuationsPrefix string
-	TablesKey         string
-	DecodeTables      func(value []byte) (*work.Tables, error)
+	// WavesPrefix is that of the keys that request the upkeep of machines; empty: there
+	// are none.
+	WavesPrefix string
+	DecodeWave  func(key string, value []byte) (work.Wave, error)
+	// EncodeWaveState returns the item that tells operators the state of a wave.
+	EncodeWaveState func(name string, state cell.WaveState) (key string, value []byte)
+	TablesKey       string
+	DecodeTables    func(value []byte) (*work.Tables, error)
 }
 
 // Host is one entry host. Set the exported fields before Run.
@@ -68,7 +74,11 @@
 	DirectStore   func(ctx context.Context, req kvstore.Request) (kvstore.Response, error)
 	Targets       Targets
 	StoreLayout   StoreLayout
-	Listen        func(address string) (net.Listener, error)
+	// ListMachines reads the platform's list of machines, and OrderUpkeep orders the upkeep
+	// of one of them; nil: the platform has none.
+	ListMachines func(ctx context.Context) ([]work.Machine, error)
+	OrderUpkeep  func(ctx context.Context, holder string, request work.UpkeepRequest) error
+	Listen       func(address string) (net.Listener, error)
 	// MaxTablesAge is the age of the current configuration from which a request
 	// waits for a refresh.
 	MaxTablesAge time.Duration
@@ -101,6 +111,7 @@
 	stats     *Stats
 
 	malformedWorkers atomic.Pointer[map[string]int64] // by key: revision that was read last
+	malformedWaves   sync.Map                         // by key: revision that was logged last
 
 	seeds atomic.Pointer[[]string]
 	view  atomic.Pointer[view] // state of the cell for other goroutines
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -39,7 +39,7 @@
 func (h *Host) writeOwner(ctx context.Context, page *bytes.Buffer) {
 	var counters cell.Counters
 	var owner bool
-	var jobs, open, workers, usable, evacuatedPlaces, evacuatedRuns int
+	var jobs, open, workers, usable, evacuatedPlaces, evacuatedRuns, wavesOpen, upkeepLeft, upkeepDown int
 	var epoch int64
 	err := h.loop.Call(ctx, func() {
 		if h.cellOwner == nil {
@@ -49,6 +49,7 @@
 		jobs, open = h.cellOwner.Jobs()
 		workers, usable = h.cellOwner.Workers()
 		evacuatedPlaces, evacuatedRuns = h.cellOwner.Evacuated()
+		wavesOpen, upkeepLeft, upkeepDown = h.cellOwner.Upkeep()
 	})
 	if err != nil {
 		h.Log.Warn().Err(err).Msg("cannot read the metrics of the cell")
@@ -67,6 +68,13 @@
 	gauge("workers_usable", int64(usable))
 	gauge("evacuated_data_centres", int64(evacuatedPlaces))
 	gauge("evacuated_data_centres_runs", int64(evacuatedRuns))
+	gauge("waves_open", int64(wavesOpen))
+	gauge("upkeep_machines_left", int64(upkeepLeft))
+	gauge("upkeep_machines_down", int64(upkeepDown))
+	gauge("upkeep_calls_total", counters.UpkeepCalls)
+	gauge("upkeeps_begun_total", counters.UpkeepsBegun)
+	gauge("upkeep_refused_total", counters.UpkeepRefused)
+	gauge("upkeep_unknown_total", counters.UpkeepUnknown)
 	gauge("starts_total", counters.Starts)
 	gauge("starts_refused_total", counters.StartsRefused)
 	gauge("starts_unknown_total", counters.StartsUnknown)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -19,10 +19,21 @@
 	MemoryMB       int64    // memory of the machine, or 0 if it is unknown
 	StoreAddress   string   // address of the platform's metadata store
 	AdviserAddress string   // address of the placement adviser
+	Cloud          Cloud
 	Bounds         HostBounds
 	LogLevel       string
 }
 
+// Cloud is the section [cloud]: the platform's list of machines and their upkeep.
+type Cloud struct {
+	Address  string  // empty: there is none
+	Rate     float64 // readings of the list that it accepts a second, from all hosts
+	DutyRate float64 // orders of upkeep that it accepts a second, from all hosts
+	// Duties names what the platform expects of the system. It is not used: an operator's
+	// request says what to do.
+	Duties string
+}
+
 // HostBounds is the section [bounds]: times and factors that the platform guarantees
 // or requires.
 type HostBounds struct {
@@ -31,6 +42,8 @@
 	Stop      time.Duration // longest time that a run takes to stop
 	Retention time.Duration // how long the state of an ended job can be queried
 	FarFactor float64       // slowdown factor of tasks that do not run near their data
+	// Maintenance is the time from the beginning of a machine's upkeep until its new worker joins.
+	Maintenance time.Duration
 	// ConfigApply is the longest time from the acknowledgement of a configuration
 	// until all hosts apply it.
 	ConfigApply time.Duration
@@ -77,6 +90,7 @@
 	set.Seeds = file.Section("peers").Addresses("seeds")
 	set.StoreAddress = file.Section("store").Address("address", "")
 	set.AdviserAddress = file.Section("adviser").String("address", "")
+	set.Cloud = decodeCloud(file.Section("cloud"))
 	set.Bounds = decodeHostBounds(file.Section("bounds"))
 	set.LogLevel = file.Section("log").Choice("level", "info", "debug", "info", "warn", "error")
 	return set, file.Check()
@@ -92,6 +106,34 @@
 		FarFactor:   bounds.Float("far-factor", 1, 1, maxFarFactor),
 		ConfigApply: bounds.Duration("config-apply", 2*time.Second),
 
+		Maintenance: seconds(optionalFloat(bounds, "maintenance-s", 2, maxMaintenanceS)),
+
 		RevokeFailClosed: bounds.Bool("revoke-fail-closed", false),
 	}
 }
+
+const (
+	maxMaintenanceS = 3600
+	maxCloudRate    = 1e6
+)
+
+func decodeCloud(cloud *inifile.Section) Cloud {
+	const defaultRate = 60
+	return Cloud{
+		Address:  cloud.String("address", ""),
+		Rate:     optionalFloat(cloud, "rate", defaultRate, maxCloudRate),
+		DutyRate: optionalFloat(cloud, "duty-rate", defaultRate, maxCloudRate),
+		Duties:   cloud.String("duties", ""),
+	}
+}
+
+// optionalFloat returns the value of key, or def if it is empty, as where the platform does not
+// have the value.
+func optionalFloat(section *inifile.Section, key string, def, high float64) float64 {
+	if section.String(key, "") == "" {
+		return def
+	}
+	return section.Float(key, def, 0, high)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/settings/host_test.go
+++ b/internal/settings/host_test.go
@@ -24,7 +24,13 @@
 max-hold = 6000ms
 far-factor = 1.5
 config-apply = 3s
+maintenance-s = 2.5
 revoke-fail-closed = true
+[cloud]
+address = 10.200.1.9:8190
+rate =
+duty-rate = 30.0
+duties = []
 `
 
 func TestParseHost(t *testing.T) {
@@ -36,10 +42,12 @@
 	assert.Equal(t, set.Bounds.Grace, 6*time.Second, "the default")
 	assert.Equal(t, set.Bounds.ConfigApply, 3*time.Second)
 	assert.Assert(t, set.Bounds.RevokeFailClosed)
+	assert.Equal(t, set.Bounds.Maintenance, 2500*time.Millisecond)
+	assert.Equal(t, set.Cloud, Cloud{Address: "10.200.1.9:8190", Rate: 60, DutyRate: 30, Duties: "[]"}, "an empty value is the default")
 	for _, tc := range []struct{ name, extra, want string }{
-		{"an unknown key", "odd = 1\n", "odd"},
+		{"an unknown key", "[bounds]\nodd = 1\n", "odd"},
 		{"an unknown section", "[odd]\na = 1\n", "odd"},
-		{"a duration without a unit", "stop = 900\n", "stop"},
+		{"a duration without a unit", "[bounds]\nstop = 900\n", "stop"},
 		{"a boolean that is neither true nor false", "[log]\n[bounds]\nrevoke-fail-closed = maybe\n", "revoke-fail-closed"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
