cell: bound the calls for upkeep by time, not by decision

Cause: a decision follows each response, so a bound for each decision did not bound the rate. A request made again under its name took over the stored state of the former one. Change: a budget of calls that grows with time; stored waves count at the takeover only.

--- a/internal/cell/upkeep.go
+++ b/internal/cell/upkeep.go
@@ -103,8 +103,9 @@
 		return false
 	}
 	m, listed := o.upkeep.machines[name]
+	// After several calls, the worker that the list has may be one that the last of them ended.
 	late := o.upkeep.machinesAsOf > rec.begunAt+o.Bounds.Maintenance+machinesLag
-	return !listed && len(nodes) == 0 || m.State == work.MachineUp && (m.Worker != "" && m.Worker != rec.worker || late)
+	return !listed && len(nodes) == 0 || m.State == work.MachineUp && (m.Worker != "" && m.Worker != rec.worker && !rec.uncertain || late)
 }
 
 // endLife frees the runs of the worker whose machine had its upkeep, once the next worker of the
--- a/internal/cell/upkeep_order.go
+++ b/internal/cell/upkeep_order.go
@@ -41,7 +41,9 @@
 // were not answered. What is to end is checked for each call, because steps may have lost other
 // tasks since the decision.
 func (o *Owner) sendUpkeeps(nodes map[string][]*node, now time.Duration) {
-	budget := max(int(o.Bounds.UpkeepRate*upkeepRateFraction*upkeepInterval.Seconds()), 1)
+	rate := o.Bounds.UpkeepRate * upkeepRateFraction
+	o.upkeep.callsLeft += rate * (now - o.upkeep.callsLeftAt).Seconds()
+	o.upkeep.callsLeft, o.upkeep.callsLeftAt = min(o.upkeep.callsLeft, max(rate*upkeepInterval.Seconds(), 1)), now
 	for _, waveName := range slices.Sorted(maps.Keys(o.waves)) {
 		w := o.waves[waveName]
 		for _, name := range slices.Sorted(maps.Keys(w.records)) {
@@ -55,9 +57,10 @@
 				}
 				continue
 			}
-			if budget--; budget < 0 {
+			if o.upkeep.callsLeft < 1 {
 				return
 			}
+			o.upkeep.callsLeft--
 			o.sendUpkeep(w, name, rec, now)
 		}
 	}
--- a/internal/cell/wave.go
+++ b/internal/cell/wave.go
@@ -58,10 +58,12 @@
 
 // upkeepState is the owner's state of all waves.
 type upkeepState struct {
-	next         time.Duration            // decision
-	restored     map[string]waveRow       // waves in the store at the takeover
-	machines     map[string]work.Machine  // the platform's list
-	machinesAsOf time.Duration            // when its reading began; 0: it was not read
+	next         time.Duration           // decision
+	restored     map[string]waveRow      // waves in the store at the takeover
+	machines     map[string]work.Machine // the platform's list
+	machinesAsOf time.Duration           // when its reading began; 0: it was not read
+	callsLeft    float64                 // that may be made now, by the platform's limit
+	callsLeftAt  time.Duration
 	retryAt      map[string]time.Duration // when the upkeep of a busy machine may next be ordered
 	marks        map[string]upkeepMark    // of machines that get no work
 	version      int64                    // of the row of the waves
@@ -125,6 +127,7 @@
 	listed := map[string]bool{}
 	for _, request := range requests {
 		listed[request.Name] = true
+		request.Machines = slices.Compact(slices.Sorted(slices.Values(request.Machines)))
 		w := o.waves[request.Name]
 		if w == nil {
 			w = o.openWave(request)
@@ -142,6 +145,7 @@
 			o.upkeep.version++
 		}
 	}
+	o.upkeep.restored = nil // a request that is made again later is another one
 	o.markMachines()
 }
 
