--- a/internal/cell/sim_cloud_test.go
+++ b/internal/cell/sim_cloud_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -25,7 +27,8 @@
 	loses      func(call int) bool  // the response is lost
 	unread     bool                 // the list of machines cannot be read
 	saveDelay  time.Duration
-	inUpkeepAt int // most machines that were down at a time
+	rate       float64       // calls that it accepts a second
+	maintained time.Duration // for which an upkeep lasts
 }
 
 type simHolder struct {
@@ -33,8 +36,6 @@
 	at    time.Duration
 }
 
-const simMaintenance = 2 * time.Second
-
 // openWave requests the upkeep of machines. Machine mNN is that of worker wNN.
 func (s *sim) openWave(within time.Duration, maximum int, machines ...string) {
 	c := &s.cloud
@@ -42,6 +43,7 @@
 	for id, w := range s.workers {
 		w.worker.Machine = "m" + strings.TrimPrefix(id, "w")
 	}
+	c.rate, c.maintained = 60, 2*time.Second
 	c.waves = []work.Wave{{Name: "7", Number: "7", Machines: machines, Within: within, Maximum: maximum}}
 }
 
@@ -50,7 +52,7 @@
 	if c.sim == nil {
 		return
 	}
-	o.Bounds.Maintenance, o.Bounds.UpkeepRate = simMaintenance, 60
+	o.Bounds.Maintenance, o.Bounds.UpkeepRate = c.maintained, c.rate
 	o.OrderUpkeep = func(request work.UpkeepRequest, done func(error)) { c.call(o, request, done) }
 	o.SaveWaves = func(row []byte, states map[string]WaveState, done func(bool)) {
 		c.sim.after(simLatency+c.saveDelay, func() {
@@ -99,6 +101,7 @@
 		if epoch := request.Fence / fencesPerEpoch; ok && before.epoch != epoch && s.now-before.at < 3*time.Second {
 			s.fatalf("owners of the epochs %d and %d call for %s within %s", before.epoch, epoch, request.Machine, s.now-before.at)
 		}
+		c.checkCall(request)
 		c.called[request.Machine] = simHolder{request.Fence / fencesPerEpoch, s.now}
 		var err error
 		if c.errs != nil {
@@ -116,6 +119,25 @@
 	})
 }
 
+// checkCall fails if a call is made that the row does not have, or for a worker that has been
+// draining.
+func (c *simCloud) checkCall(request work.UpkeepRequest) {
+	var rows []waveRow
+	if err := cbor.Unmarshal(c.row, &rows); err != nil {
+		c.sim.fatalf("%v", err)
+	}
+	if !slices.ContainsFunc(rows, func(w waveRow) bool {
+		return slices.ContainsFunc(w.Machines, func(m machineRow) bool { return m.Name == request.Machine && m.Phase != 0 })
+	}) {
+		c.sim.fatalf("the row does not have the order for %s", request.Machine)
+	}
+	for _, w := range c.sim.workers {
+		if w.worker.Machine == request.Machine && w.worker.Draining && c.sim.now > w.drainingAt+drainBound && !w.gone {
+			c.sim.fatalf("the upkeep of %s is ordered, which drains", request.Machine)
+		}
+	}
+}
+
 // begin begins the upkeep of a machine, and checks that it may.
 func (c *simCloud) begin(request work.UpkeepRequest) error {
 	s, key := c.sim, request.Wave+"/"+request.Machine
@@ -143,13 +165,12 @@
 	}
 	s.tracef("upkeep of %s (%s) begins with %d runs", request.Machine, w.worker.ID, len(w.runs))
 	c.done[key], c.down[request.Machine], c.begun = true, s.now, append(c.begun, request.Machine)
-	c.inUpkeepAt = max(c.inUpkeepAt, len(c.down))
 	entry := w.worker
 	w.staleEntry, w.down, w.gone = &entry, true, true
 	w.worker.Born++
 	w.runs, w.waiters = map[string]*simRun{}, nil
 	s.after(time.Second, func() { w.unlisted = true })
-	s.after(simMaintenance, func() {
+	s.after(c.maintained, func() {
 		delete(c.down, request.Machine)
 		next := &simWorker{sim: s, runs: map[string]*simRun{}, highestEnded: map[string]int64{}, throttles: map[string]int{}, startedAt: s.now, worker: w.worker}
 		next.worker.ID = fmt.Sprintf("%s-%d", w.worker.ID, s.now/time.Millisecond)
--- a/internal/sched/upkeep_test.go
+++ b/internal/sched/upkeep_test.go
@@ -48,6 +48,7 @@
 		{"interrupts when pressed", Upkeep{Maximum: 1, Left: 8 * s, Machines: all(chosen(short(4*s), s)), Round: 3 * s}, []int{0}, nil, []int{0}},
 		{"not what is about to end", Upkeep{Maximum: 1, Left: 8 * s, Machines: all(chosen(short(s), s)), Round: 3 * s}, []int{0}, nil, nil},
 		{"not before progress is saved", Upkeep{Maximum: 1, Left: 8 * s, Machines: all(chosen(saving(4*s), s)), Round: 3 * s}, []int{0}, []int{0}, nil},
+		{"not while progress is being saved", Upkeep{Maximum: 1, Left: 8 * s, Machines: all(chosen(UpkeepMachine{Runs: 1, Saving: true}, s)), Round: 3 * s}, []int{0}, nil, nil},
 		{"lasting task within the limit", Upkeep{Maximum: 1, Left: 8 * s, Machines: all(chosen(lasting(1), s)), Round: 3 * s, Steps: steps(1, 0)}, []int{0}, nil, []int{0}},
 		{"lasting task whose step is at its limit", Upkeep{Maximum: 1, Left: -s, Machines: all(chosen(lasting(1), s)), Round: 3 * s, Steps: steps(1, 1)}, []int{0}, nil, nil},
 		{"more tasks than the limit", Upkeep{Maximum: 1, Left: -s, Machines: all(chosen(lasting(2), s)), Round: 3 * s, Steps: steps(1, 0)}, []int{0}, nil, nil},
