--- a/internal/cell/sim_cloud_test.go
+++ b/internal/cell/sim_cloud_test.go
@@ -165,19 +165,24 @@
 	}
 	s.tracef("upkeep of %s (%s) begins with %d runs", request.Machine, w.worker.ID, len(w.runs))
 	c.done[key], c.down[request.Machine], c.begun = true, s.now, append(c.begun, request.Machine)
-	entry := w.worker
+	c.replace(w, c.maintained, func() { delete(c.down, request.Machine) })
+	return nil
+}
+
+// replace ends a worker. Another one of its machine joins after d.
+func (c *simCloud) replace(w *simWorker, d time.Duration, joined func()) {
+	s, entry := c.sim, w.worker
 	w.staleEntry, w.down, w.gone = &entry, true, true
 	w.worker.Born++
 	w.runs, w.waiters = map[string]*simRun{}, nil
-	s.after(time.Second, func() { w.unlisted = true })
-	s.after(c.maintained, func() {
-		delete(c.down, request.Machine)
+	s.after(min(d, time.Second), func() { w.unlisted = true })
+	s.after(d, func() {
+		joined()
 		next := &simWorker{sim: s, runs: map[string]*simRun{}, highestEnded: map[string]int64{}, throttles: map[string]int{}, startedAt: s.now, worker: w.worker}
 		next.worker.ID = fmt.Sprintf("%s-%d", w.worker.ID, s.now/time.Millisecond)
 		next.worker.Address = next.worker.ID
 		s.workers[next.worker.ID] = next
 	})
-	return nil
 }
 
 // checkStep fails if the end of a task at work leaves too many of its step away.
--- a/internal/cell/upkeep_rules_test.go
+++ b/internal/cell/upkeep_rules_test.go
@@ -103,3 +103,22 @@
 	s.run(s.now + time.Minute)
 	s.assertWave(6)
 }
+
+// TestWorkerReplacedBetweenCalls guards against a worker that joined between two calls, and that
+// the second one has ended, which counts as the one after the upkeep. The cloud checks it.
+func TestWorkerReplacedBetweenCalls(t *testing.T) {
+	s := newSim(t, 1, 6)
+	s.openWave(time.Minute, 1, "m00", "m01")
+	s.cloud.errs = func(call int) error {
+		if call == 1 {
+			s.cloud.replace(s.workers["w00"], 10*time.Millisecond, func() {})
+		}
+		if call <= 5 {
+			return errLost
+		}
+		return nil
+	}
+	s.claim()
+	s.run(40 * time.Second)
+	s.assertWave(2)
+}
