--- a/internal/cell/upkeep_test.go
+++ b/internal/cell/upkeep_test.go
@@ -120,6 +120,34 @@
 				})
 			}
 		}},
+		{"everything", func(s *sim) {
+			s.cloud.loses = func(int) bool { return s.rng.Float64() < 0.3 }
+			s.cloud.errs = func(int) error {
+				switch {
+				case s.rng.Float64() < 0.1:
+					return errLost
+				case s.rng.Float64() < 0.1:
+					return work.ErrTooManyCalls
+				}
+				return nil
+			}
+			s.loseResponse = 0.02
+			s.store.loseWriteResponse = 0.05
+			for range 3 {
+				s.after(time.Duration(s.rng.IntN(60))*time.Second, func() {
+					s.owner.kill()
+					s.after(time.Second, s.claim)
+				})
+				s.after(time.Duration(s.rng.IntN(60))*time.Second, func() { s.store.down = true; s.after(2*time.Second, func() { s.store.down = false }) })
+			}
+			for i := range 4 {
+				s.after(time.Duration(s.rng.IntN(60))*time.Second, func() {
+					if w := s.workers[fmt.Sprintf("w%02d", i+8)]; w != nil {
+						w.crash(2 * time.Second)
+					}
+				})
+			}
+		}},
 		{"a frozen owner", func(s *sim) {
 			s.cloud.saveDelay = 100 * time.Millisecond
 			for i := range 20 {
