--- a/internal/host/waves.go
+++ b/internal/host/waves.go
@@ -20,6 +20,9 @@
 	machinesInterval = 2 * time.Second
 	// machinesTimeout bounds one reading.
 	machinesTimeout = 1500 * time.Millisecond
+	// maxUpkeepDelay is the maximum time from the decision to make a call until it is sent. The
+	// process may be suspended in between, and the cell have another owner since.
+	maxUpkeepDelay = 200 * time.Millisecond
 	// waveCheckInterval is the interval between two checks whether a wave is open.
 	waveCheckInterval = 250 * time.Millisecond
 )
@@ -37,7 +40,11 @@
 	}
 	holder := h.Name + "/" + h.instance
 	o.OrderUpkeep = func(request work.UpkeepRequest, done func(error)) {
+		decided := bootClock()
 		callInBackground(h, ctx, cell.UpkeepTimeout, func(_ struct{}, err error) { done(err) }, func(ctx context.Context) (struct{}, error) {
+			if bootClock()-decided > maxUpkeepDelay {
+				return struct{}{}, work.ErrNotSent
+			}
 			return struct{}{}, h.OrderUpkeep(ctx, holder, request)
 		})
 	}
--- a/internal/logstory/parts.go
+++ b/internal/logstory/parts.go
@@ -133,7 +133,7 @@
 func stopReason(text string) string {
 	for _, c := range []struct{ prefix, short string }{
 		{"preempted", "preempted"}, {"slower than", "straggler"}, {"a member of the gang", "broken gang"},
-		{"its data centre", "evacuated"}, {"the worker is draining", "drained"}, {"start not answered", "unanswered"},
+		{"its data centre", "evacuated"}, {"its machine", "upkeep"}, {"the worker is draining", "drained"}, {"start not answered", "unanswered"},
 	} {
 		if strings.HasPrefix(text, c.prefix) {
 			return c.short
--- a/internal/logstory/parts_test.go
+++ b/internal/logstory/parts_test.go
@@ -85,6 +85,8 @@
 			`4 1125 {T},"run":1,"how":"stopped"`, again, done), attempt("broken gang")},
 		{"evacuated", lines(9, "", start, `3 1123 {T},"run":1,"reason":"its data centre is evacuated"`,
 			`4 1125 {T},"run":1,"how":"stopped"`, again, done), attempt("evacuated")},
+		{"upkeep", lines(9, "", start, `3 1123 {T},"run":1,"reason":"its machine is next for upkeep"`,
+			`4 1125 {T},"run":1,"how":"stopped"`, again, done), attempt("upkeep")},
 		{"no starts", lines(9, `"room":1000`), Parts{partOther: 8 * second}},
 	}
 	for _, tc := range tests {
