sched: sort the machines of a wave once

Cause: each choice compared all machines that were left. Change: one sort by cost, then racks in turn among equal ones.

--- a/internal/sched/upkeep.go
+++ b/internal/sched/upkeep.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -185,23 +186,33 @@
 // next adds machines to those given until there are count, with the least cost first. Among equal
 // ones it takes racks in turn, so that data stays reachable on other machines of a rack.
 func (u *Upkeep) next(next []int, count int) []int {
-	racks := map[string]int{}
-	for rack, down := range u.RackDown {
-		racks[rack] = down
+	racks := maps.Clone(u.RackDown)
+	if racks == nil {
+		racks = map[string]int{}
 	}
 	var left []int
 	for i := range u.Machines {
-		if !slices.Contains(next, i) {
+		if slices.Contains(next, i) {
+			racks[u.Machines[i].Rack]++
+		} else {
 			left = append(left, i)
 		}
 	}
-	for len(next) < count && len(left) > 0 {
-		best := slices.MinFunc(left, func(a, b int) int {
-			return cmp.Or(u.Machines[a].compareCost(&u.Machines[b]), cmp.Compare(racks[u.Machines[a].Rack], racks[u.Machines[b].Rack]), a-b)
-		})
-		next = append(next, best)
-		racks[u.Machines[best].Rack]++
-		left = slices.DeleteFunc(left, func(i int) bool { return i == best })
+	compare := func(a, b int) int { return u.Machines[a].compareCost(&u.Machines[b]) }
+	slices.SortStableFunc(left, compare)
+	for len(left) > 0 && len(next) < count {
+		equal := 1
+		for equal < len(left) && compare(left[0], left[equal]) == 0 {
+			equal++
+		}
+		turn := make(map[int]int, equal) // machines of its rack that come before a machine
+		for _, i := range left[:equal] {
+			turn[i] = racks[u.Machines[i].Rack]
+			racks[u.Machines[i].Rack]++
+		}
+		slices.SortStableFunc(left[:equal], func(a, b int) int { return turn[a] - turn[b] })
+		next = append(next, left[:min(equal, count-len(next))]...)
+		left = left[equal:]
 	}
 	return next
 }
