--- a/internal/cell/upkeep_test.go
+++ b/internal/cell/upkeep_test.go
@@ -123,10 +123,10 @@
 		{"everything", func(s *sim) {
 			s.cloud.loses = func(int) bool { return s.rng.Float64() < 0.3 }
 			s.cloud.errs = func(int) error {
-				switch {
-				case s.rng.Float64() < 0.1:
+				switch p := s.rng.Float64(); {
+				case p < 0.1:
 					return errLost
-				case s.rng.Float64() < 0.1:
+				case p < 0.2:
 					return work.ErrTooManyCalls
 				}
 				return nil
