cell: upkeep of machines whose worker does not respond

Cause: a machine whose worker the owner does not reach was never ordered, so its wave did not end. Change: it is ordered once the worker's lease has ended and nothing is attached to it. Measured: the new case of TestWaveWithFaults passes, and fails without the change (7 of 8 machines).

--- a/internal/cell/upkeep.go
+++ b/internal/cell/upkeep.go
@@ -218,14 +218,16 @@
 	return o.upkeep.machines[name].State == work.MachineInUpkeep
 }
 
-// orderable reports whether the upkeep of a machine can be ordered: it has one worker, which
-// responds and does not leave, and all runs there are known.
+// orderable reports whether the upkeep of a machine can be ordered: it has one worker that does
+// not leave, and all runs there are known, or have ended with its lease.
 func (o *Owner) orderable(name string, nodes []*node, now time.Duration) bool {
 	if len(nodes) != 1 || now < o.upkeep.retryAt[name] || o.upkeep.marks[name] == markOrdered || !o.mayCall(name, now) {
 		return false
 	}
 	n := nodes[0]
-	return n.responded && n.resolved && n.described() && n.missedRenewals == 0 && !n.worker.Draining
+	known := n.responded && n.resolved && n.described() && n.missedRenewals == 0
+	lapsed := len(n.runs) == 0 && now > n.leaseExpiry && !o.mayRunUnknown(n, now)
+	return !n.worker.Draining && (known || lapsed)
 }
 
 // upkeepMachine describes a machine, and adds the lasting steps that are at work there.
--- a/internal/cell/upkeep_test.go
+++ b/internal/cell/upkeep_test.go
@@ -111,6 +111,7 @@
 				w.gone, w.down, w.unlisted, w.runs = true, true, true, map[string]*simRun{}
 			})
 		}},
+		{"a worker does not respond", func(s *sim) { s.workers["w02"].disconnect(time.Hour) }},
 		{"takeovers", func(s *sim) {
 			s.cloud.loses = func(call int) bool { return call%3 == 1 }
 			for i := range 4 {
