--- a/internal/host/load_test.go
+++ b/internal/host/load_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
