cell: reject jobs that the owner of the cell has no memory for

Seen by callers: clients that submit jobs inside the limits, faster than the cell works, ended the process of the owner, and then that of the next host: all calls failed until the store was emptied.

Cause: nothing bounded the memory of accepted jobs. Each host stored what it received, the owner built steps and tasks of all of it, and a host that took over restored all of it.

Change: the owner counts the bytes of all jobs (cell.Footprint, backlog.Ledger). The limit is a quarter of the memory of the smallest host, as any host may take over. Hosts store small amounts without asking, within a window that bounds all of them together (backlog.Window), and ask the owner beyond that; a client account may take as much as it leaves free. A rejected job is answered 503 only after the store has confirmed that no earlier call has stored it, and nothing of it is stored. Jobs that have ended keep only their state after ten seconds.

Why it works: what is accepted but not yet counted is at most a window for each host, and each confirmation of the owner carries the sum, so the sum stays below the limit however late a host learns of the others. TestFloodThroughManyHosts replays that with 1 to 300 hosts, reports that overtake each other and owners that change; TestFootprint compares the estimate with the heap.

--- a/internal/cell/delete_test.go
+++ b/internal/cell/delete_test.go
@@ -42,6 +42,8 @@
 	s.run(s.now + 8*time.Second)
 	known, _ = s.owner.Jobs()
 	assert.Equal(t, known, 0)
+	accepted, _ := s.owner.Backlog()
+	assert.Equal(t, accepted, int64(0), "bytes of jobs that were deleted")
 	assert.Equal(t, len(deleted), perSecond*seconds)
 }
 
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"turmericspread.org/turmericspread/internal/backlog"
 	"turmericspread.org/turmericspread/internal/event"
 	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/work"
@@ -25,6 +26,7 @@
 	endedAt   time.Duration // time of day
 	overRate  bool          // over the team's rate
 	work      float64       // estimated core-seconds of one occurrence
+	bytes     int64         // counted in the ledger
 
 	revision     int64 // of the progress record
 	version      int64 // incremented with each change of the progress
@@ -110,6 +112,8 @@
 // progress.
 func newJob(spec *work.Job) *job {
 	j := &job{spec: spec, policy: cmp.Or(spec.Policy, unknownPolicy), criticalPath: criticalPathFrom(spec, -1), work: jobWork(spec)}
+	j.steps = make([]*step, 0, spec.Occurrences()*len(spec.Steps))
+	j.tasks = make([]*task, 0, spec.Occurrences()*spec.TasksPerOccurrence())
 	for occurrence := range spec.Occurrences() {
 		for i := range spec.Steps {
 			s := &step{job: j, spec: &spec.Steps[i], number: i, occurrence: occurrence}
@@ -118,6 +122,7 @@
 			} else {
 				s.remainingPath = j.steps[i].remainingPath
 			}
+			s.tasks = make([]*task, 0, s.spec.Count)
 			for index := range s.spec.Count {
 				t := &task{step: s, number: len(j.tasks), index: index}
 				s.tasks = append(s.tasks, t)
@@ -226,6 +231,7 @@
 
 func (o *Owner) addJob(j *job) {
 	o.jobs[j.spec.ID] = j
+	o.countJob(j)
 	if j.work > 0 {
 		o.meanWork.of(j.spec.Queue).observe(j.work)
 	}
@@ -345,6 +351,9 @@
 	}
 	o.nextDelete = now + deleteInterval
 	maps.DeleteFunc(o.deleted, func(_ string, d deletedJob) bool { return now-d.at > deletedMemory })
+	for _, j := range o.jobs {
+		o.dropDetails(j)
+	}
 	if !o.StoreUp() {
 		return
 	}
@@ -396,6 +405,7 @@
 			for _, id := range batch {
 				if j := o.jobs[id]; j != nil {
 					o.deleted[id] = deletedJob{accepted: j.spec.Accepted, at: o.Now()}
+					o.ledger.Remove(backlog.AccountOf(j.spec), j.bytes)
 					delete(o.jobs, id)
 				}
 			}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -26,6 +26,7 @@
 
 	"github.com/rs/zerolog"
 
+	"turmericspread.org/turmericspread/internal/backlog"
 	"turmericspread.org/turmericspread/internal/resource"
 	"turmericspread.org/turmericspread/internal/sched"
 	"turmericspread.org/turmericspread/internal/work"
@@ -86,6 +87,8 @@
 	PeersLostStore func() bool
 	// Isolated reports whether no other host was heard from for long, although there are some.
 	Isolated func() bool
+	// BacklogLimit returns the bytes that the jobs of the cell may take; 0: unbounded.
+	BacklogLimit func() int64
 	// OnOwnershipLost is called once when a higher fencing token or another owner is
 	// observed.
 	OnOwnershipLost func(reason string)
@@ -120,7 +123,8 @@
 	Counters Counters
 
 	jobs                 map[string]*job
-	active               []*job // not terminal, by age
+	ledger               backlog.Ledger // of all jobs
+	active               []*job         // not terminal, by age
 	nodes                map[string]*node
 	workersListedAt      time.Duration    // when the reading of the last worker list began
 	sortedNodes          []*node          // by ID
@@ -201,6 +205,7 @@
 		OnJobDelayed:     func(string, Delay) {},
 		PeersLostStore:   func() bool { return true },
 		Isolated:         func() bool { return false },
+		BacklogLimit:     func() int64 { return 0 },
 		jobs:             map[string]*job{},
 		nodes:            map[string]*node{},
 		usage:            map[string]resource.Vector{},
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -24,7 +24,7 @@
 	if p == nil || !p.State.Terminal() || slices.ContainsFunc(p.Tasks, func(row work.TaskProgress) bool { return len(row.Runs) > 0 }) {
 		return
 	}
-	st.Job = &work.Job{ID: st.Job.ID, Team: st.Job.Team, Queue: st.Job.Queue, Accepted: st.Job.Accepted}
+	st.Job = endedJob(st.Job)
 	st.Progress = &work.Progress{State: p.State, Ended: p.Ended, Started: p.Started}
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -105,6 +105,7 @@
 	JobStored              = define(1150, zerolog.InfoLevel, "job stored")
 	JobNotAccepted         = define(1151, zerolog.InfoLevel, "job not accepted")
 	JobUseless             = define(1157, zerolog.InfoLevel, "job rejected because it would be of no use")
+	JobNoRoom              = define(1159, zerolog.InfoLevel, "job rejected because the cell has no memory for it")
 	JobUnknown             = define(1152, zerolog.WarnLevel, "outcome of a job submission unknown")
 	CallRefused            = define(1153, zerolog.InfoLevel, "call refused")
 	CancelStored           = define(1154, zerolog.InfoLevel, "cancellation stored")
--- a/internal/host/admission.go
+++ b/internal/host/admission.go
@@ -80,7 +80,7 @@
 	}
 	need, _ := cell.NewJobOf(job)
 	after := retryAfter(end, need.Budget)
-	h.stats.set.GetOrCreateCounter(fmt.Sprintf(`turmericspread_jobs_rejected_total{queue=%q,reason="useless"}`, job.Queue)).Inc()
+	h.countRejected(job.Queue, "useless")
 	if h.stats.rejectionLogs.allow(time.Now(), maxRejectionLogs) {
 		event.JobUseless.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).Dur("end", end).
 			Dur("budget", need.Budget).Float64("core-seconds", need.Work).Dur("age", time.Since(loads.at)).Dur("retry-after", after).Send()
@@ -88,6 +88,11 @@
 	return &uselessError{after: after}
 }
 
+// countRejected counts a job that was rejected.
+func (h *Host) countRejected(queue, reason string) {
+	h.stats.set.GetOrCreateCounter(fmt.Sprintf(`turmericspread_jobs_rejected_total{queue=%q,reason=%q}`, queue, reason)).Inc()
+}
+
 // uselessIn reports whether the job would be useless in the given state of the queues.
 func uselessIn(queues []sched.QueueLoad, job *work.Job) (end time.Duration, useless bool) {
 	need, ok := cell.NewJobOf(job)
@@ -122,16 +127,16 @@
 	h.stats.set.GetOrCreateCounter(fmt.Sprintf(`turmericspread_jobs_delayed_total{queue=%q,reason=%q}`, queue, reason)).Inc()
 }
 
-// logBudget bounds the lines of one kind in each second.
-type logBudget struct {
+// rateBudget bounds how often something is done in each second.
+type rateBudget struct {
 	second atomic.Int64
-	lines  atomic.Int64
+	times  atomic.Int64
 }
 
-// allow reports whether another line may be written.
-func (b *logBudget) allow(now time.Time, limit int64) bool {
+// allow reports whether it may be done once more.
+func (b *rateBudget) allow(now time.Time, limit int64) bool {
 	if second := now.Unix(); b.second.Swap(second) != second {
-		b.lines.Store(0)
+		b.times.Store(0)
 	}
-	return b.lines.Add(1) <= limit
+	return b.times.Add(1) <= limit
 }
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -10,6 +10,7 @@
 
 	"github.com/zeebo/errs"
 
+	"turmericspread.org/turmericspread/internal/backlog"
 	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/kvstore"
 	"turmericspread.org/turmericspread/internal/peer"
@@ -29,6 +30,7 @@
 	callHandOver  = "hand-over"
 	callCarry     = "carry"
 	callTables    = "tables"
+	callRoom      = "room"
 )
 
 type heartbeatRequest struct {
@@ -57,6 +59,8 @@
 	// without it.
 	Loads    []sched.QueueLoad
 	LoadsAge int64 // of Loads, in milliseconds
+	// Backlog is the memory that the accepted jobs take; empty from builds without it.
+	Backlog backlog.Report
 }
 
 type storeReply struct {
@@ -79,7 +83,10 @@
 
 // ownerReply states whether the responding host owns the cell and has thus
 // processed the request.
-type ownerReply struct{ Owner bool }
+type ownerReply struct {
+	Owner   bool
+	Backlog backlog.Report // after the request; empty from builds without it
+}
 
 type stateRequest struct{ ID string }
 
@@ -120,6 +127,7 @@
 	peer.Handle(mux, callPending, h.onPending)
 	peer.Handle(mux, callAdvise, h.onAdvise)
 	peer.Handle(mux, callTables, h.onTables)
+	peer.Handle(mux, callRoom, h.onRoom)
 	peer.Handle(mux, callHandOver, h.onHandOver)
 	peer.HandleStream(mux, callCarry, h.serveCarrier)
 	return mux
@@ -135,6 +143,7 @@
 		if o := h.cellOwner; o != nil {
 			out.Recorded, out.Sole, out.Epoch = o.Recorded(), o.Sole(), o.Epoch
 			out.Loads, out.LoadsAge = h.queueLoads()
+			out.Backlog = h.backlogReport()
 		}
 		out.AsksPeers = true
 		out.StoreAge = time.Since(h.store.LastSuccess()).Milliseconds() + 1
@@ -251,7 +260,11 @@
 		return nil, err
 	}
 	out = &ownerReply{}
-	err = h.loop.Call(ctx, func() { out.Owner = h.acceptLocally(job) })
+	err = h.loop.Call(ctx, func() {
+		if out.Owner = h.acceptLocally(job); out.Owner {
+			out.Backlog = h.backlogReport()
+		}
+	})
 	return out, err
 }
 
@@ -263,12 +276,17 @@
 	}
 	h.cellOwner.Accept(job)
 	h.cellOwner.Tick()
+	h.backlogReport()
 	return true
 }
 
 func (h *Host) onCancel(ctx context.Context, in *cancelRequest) (out *ownerReply, err error) {
 	out = &ownerReply{}
-	err = h.loop.Call(ctx, func() { out.Owner = h.cancelLocally(in.ID) })
+	err = h.loop.Call(ctx, func() {
+		if out.Owner = h.cancelLocally(in.ID); out.Owner {
+			out.Backlog = h.backlogReport()
+		}
+	})
 	return out, err
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
+	"turmericspread.org/turmericspread/internal/backlog"
 	"turmericspread.org/turmericspread/internal/boottime"
 	"turmericspread.org/turmericspread/internal/carrier"
 	"turmericspread.org/turmericspread/internal/cell"
@@ -129,6 +130,8 @@
 	seeds atomic.Pointer[[]string]
 	view  atomic.Pointer[view] // state of the cell for other goroutines
 	loads atomic.Pointer[knownLoads]
+	// window counts the jobs that were stored by this host and are not confirmed by the owner.
+	window backlog.Window
 
 	// The fields below are accessed only on the control goroutine.
 	currentOwner      ownerRow  // empty if the cell has no owner
@@ -155,6 +158,8 @@
 	owner   ownerRow
 	known   bool // the cell has an owner
 	members []memberRow
+	// memoryMB is the memory of the smallest host; 0: unknown.
+	memoryMB int64
 }
 
 // New returns a Host that is not running yet.
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -45,6 +45,7 @@
 	Address  string  `cbor:"3,keyasint"`
 	CPUShare float64 `cbor:"4,keyasint,omitempty"`
 	Started  int64   `cbor:"5,keyasint,omitempty"` // Unix milliseconds
+	MemoryMB int64   `cbor:"6,keyasint,omitempty"` // of the machine; 0: unknown, or a build without it
 }
 
 const (
@@ -137,6 +138,7 @@
 func (h *Host) member() memberRow {
 	return memberRow{
 		Name: h.Name, Instance: h.instance, Address: h.PeerAddress, CPUShare: h.CPUShare, Started: h.started.UnixMilli(),
+		MemoryMB: h.MemoryMB,
 	}
 }
 
@@ -244,7 +246,7 @@
 
 // publishView updates the snapshot of the cell's state for other goroutines.
 func (h *Host) publishView() {
-	v := &view{owner: h.currentOwner, known: h.ownerRowRevision > 0}
+	v := &view{owner: h.currentOwner, known: h.ownerRowRevision > 0, memoryMB: h.smallestMemory()}
 	for _, m := range h.members {
 		v.members = append(v.members, m)
 	}
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -43,13 +43,15 @@
 	var counters cell.Counters
 	var owner bool
 	var jobs, open, workers, usable, evacuatedPlaces, evacuatedRuns, wavesOpen, upkeepLeft, upkeepDown int
-	var epoch int64
+	var epoch, accepted, reserved, limit int64
 	err := h.loop.Call(ctx, func() {
 		if h.cellOwner == nil {
 			return
 		}
 		owner, epoch, counters = true, h.cellOwner.Epoch, h.cellOwner.Counters
 		jobs, open = h.cellOwner.Jobs()
+		accepted, reserved = h.cellOwner.Backlog()
+		limit = h.cellOwner.BacklogLimit()
 		workers, usable = h.cellOwner.Workers()
 		evacuatedPlaces, evacuatedRuns = h.cellOwner.Evacuated()
 		wavesOpen, upkeepLeft, upkeepDown = h.cellOwner.Upkeep()
@@ -67,6 +69,9 @@
 	gauge("epoch", epoch)
 	gauge("jobs", int64(jobs))
 	gauge("jobs_open", int64(open))
+	gauge("jobs_bytes", accepted)
+	gauge("jobs_reserved_bytes", reserved)
+	gauge("jobs_bytes_limit", limit)
 	gauge("workers", int64(workers))
 	gauge("workers_usable", int64(usable))
 	gauge("evacuated_data_centres", int64(evacuatedPlaces))
--- a/internal/host/owner.go
+++ b/internal/host/owner.go
@@ -20,6 +20,7 @@
 	o.Epoch, o.Log, o.Bounds = row.Epoch, h.Log, h.Bounds
 	o.Now, o.WallClock = bootClock, wallClock
 	o.Tables = h.Tables
+	o.BacklogLimit = h.backlogLimit
 	o.StoreUp, o.SinceStoreFailure = h.storeUp, h.sinceStoreFailure
 	owned := time.Now()
 	o.AdviserFree = func(cost time.Duration) bool {
--- a/internal/host/predecessor.go
+++ b/internal/host/predecessor.go
@@ -100,6 +100,9 @@
 		processTerminated := err != nil && isConnectionRefused(err) || err == nil && reply.Instance != v.owner.Instance
 		if err == nil && !processTerminated && reply.Owner {
 			h.recordLoads(reply.Loads, time.Duration(reply.LoadsAge)*time.Millisecond)
+			if reply.Epoch > 0 { // it is not loading the cell
+				h.window.Observe(reply.Backlog)
+			}
 			h.applyPeerTables("owner", &reply.Tables, sent)
 			if !reply.Tables.Whole && reply.Tables.Version > h.tablesVersion() {
 				h.refreshOnce() // too large for the heartbeat response
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -128,7 +128,7 @@
 		})
 		if err == nil || errs.Is(err, kvstore.ErrConflict) {
 			event.CancelStored.Log(h.Log).Str("job", id).Str("team", team).Send()
-			h.notifyOwner(id, callCancel, &cancelRequest{ID: id}, func() bool { return h.cancelLocally(id) })
+			h.notifyOwner(id, callCancel, &cancelRequest{ID: id}, func() bool { return h.cancelLocally(id) }, nil)
 			return nil
 		}
 		if again := h.awaitAgain(ctx, call, err); again != nil {
--- a/internal/host/stats.go
+++ b/internal/host/stats.go
@@ -13,7 +13,9 @@
 	pending   atomic.Pointer[map[string]pendingCount] // by queue; the map is replaced, never modified
 	set       *metrics.Set
 	// rejectionLogs bounds the lines on rejected jobs.
-	rejectionLogs logBudget
+	rejectionLogs rateBudget
+	// confirmations bounds the reads of the store that confirm a refusal.
+	confirmations rateBudget
 }
 
 // pendingCount is the number of pending jobs of a queue at a point in time.
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -38,6 +38,10 @@
 	if err := h.admit(ctx, job); err != nil {
 		return err
 	}
+	occupied, err := h.takeRoom(ctx, job)
+	if err != nil {
+		return err
+	}
 	key := jobPrefix + job.ID
 	for {
 		found, err := h.storeJob(ctx, call, key, value)
@@ -45,14 +49,20 @@
 		case err == nil:
 			event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
 				Dur("took", wallClock()-job.Accepted).Int64("config", h.tablesVersion()).Dur("config-age", h.TablesAge()).Send()
-			h.notifyOwner(job.ID, callJob, &jobRequest{Job: value}, func() bool { return h.acceptLocally(job) })
+			h.notifyOfJob(job, value, occupied)
 			return nil
 		case errs.Is(err, kvstore.ErrConflict):
+			occupied.free()
 			event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Bool("again", true).Send()
 			h.notifyStored(found)
 			return nil
 		}
 		if again := h.awaitAgain(ctx, call, err); again != nil {
+			if errs.Is(again, ErrUnknown) {
+				occupied.freeLate()
+			} else {
+				occupied.free()
+			}
 			return h.submitFailed(job, again, err)
 		}
 	}
@@ -83,33 +93,57 @@
 		event.EntryMalformed.Log(h.Log).Str("key", found[0].Key).Err(err).Send()
 		return
 	}
-	h.notifyOwner(job.ID, callJob, &jobRequest{Job: found[0].Value}, func() bool { return h.acceptLocally(job) })
+	h.notifyOfJob(job, found[0].Value, &room{host: h})
+}
+
+// notifyOfJob notifies the owner of a stored job. The room of the job stays occupied until the
+// owner has confirmed that it counts the job: an owner that takes over counts what is stored.
+func (h *Host) notifyOfJob(job *work.Job, value []byte, occupied *room) {
+	h.notifyOwner(job.ID, callJob, &jobRequest{Job: value}, func() bool { return h.acceptLocally(job) }, occupied.free)
 }
 
 const (
-	// notifyTimeout bounds the attempts to notify the owner of a change.
+	// notifyTimeout bounds the attempts to notify the owner of a change soon.
 	// Afterwards the owner finds the change with its watch.
 	notifyTimeout = 3 * time.Second
 	// notifyRetryInterval is the interval between two attempts.
 	notifyRetryInterval = 50 * time.Millisecond
+	// lateNotifyInterval replaces it after notifyTimeout.
+	lateNotifyInterval = time.Second
 )
 
 // notifyOwner notifies the owner of a change in the store, so that the owner
-// does not have to wait for its watch.
-func (h *Host) notifyOwner(id, call string, request any, local func() bool) {
+// does not have to wait for its watch. It calls confirmed, if set, when the owner has
+// responded, and then does not give up before this host stops.
+func (h *Host) notifyOwner(id, call string, request any, local func() bool, confirmed func()) {
 	h.spawn(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
-		for ctx.Err() == nil {
-			if h.notifyOnce(ctx, call, request, local) {
+		notified := h.notifyUntil(ctx, notifyRetryInterval, call, request, local)
+		if !notified {
+			event.OwnerNotNotified.Log(h.Log).Str("job", id).Str("call", call).Send()
+			if confirmed == nil {
 				return
 			}
-			sleep(ctx, notifyRetryInterval)
+			notified = h.notifyUntil(h.runCtx, lateNotifyInterval, call, request, local)
+		}
+		if notified && confirmed != nil {
+			confirmed()
 		}
-		event.OwnerNotNotified.Log(h.Log).Str("job", id).Str("call", call).Send()
 	})
 }
 
+// notifyUntil repeats the notification until the owner has responded or ctx ends.
+func (h *Host) notifyUntil(ctx context.Context, interval time.Duration, call string, request any, local func() bool) (notified bool) {
+	for ctx.Err() == nil {
+		if h.notifyOnce(ctx, call, request, local) {
+			return true
+		}
+		sleep(ctx, interval)
+	}
+	return false
+}
+
 // notifyOnce makes one attempt to notify the owner. If this host is the owner,
 // it calls local instead.
 func (h *Host) notifyOnce(ctx context.Context, call string, request any, local func() bool) (notified bool) {
@@ -131,5 +165,9 @@
 	case *cancelRequest:
 		reply, err = peer.Call[cancelRequest, ownerReply](callCtx, h.peers, v.owner.Address, call, in)
 	}
-	return err == nil && reply != nil && reply.Owner
+	if err != nil || !reply.Owner {
+		return false
+	}
+	h.window.Observe(reply.Backlog)
+	return true
 }
