--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -84,6 +84,7 @@
 	entries  []*process
 	clients  []*client.Client  // one per entry host, with the key of team settlement
 	keys     map[string]string // by team
+	settings string            // further lines of the section [entry]
 }
 
 // nextPort is the next port number to try. The numbers are below the ephemeral range,
@@ -167,8 +168,8 @@
 var dataCentres = []string{"boyolali", "klaten", "salatiga"}
 
 // newCluster starts the stand-ins and n entry hosts, loads the example tables, and
-// waits until all shards have owners.
-func newCluster(t testing.TB, n int) *cluster {
+// waits until all shards have owners. Settings are further lines of the section [entry].
+func newCluster(t testing.TB, n int, settings ...string) *cluster {
 	t.Helper()
 	const platformPorts, minions = 4, 16
 	base := findFreePorts(t, platformPorts+minions+2*n)
@@ -177,7 +178,7 @@
 		fmt.Fprintf(&entries, "[entry e%d]\nplace = %s\nhttp-address = 127.0.0.1:%d\npeer-address = 127.0.0.1:%d\n\n",
 			i+1, dataCentres[i%len(dataCentres)], base+platformPorts+minions+i, base+platformPorts+minions+n+i)
 	}
-	c := &cluster{t: t, dir: t.TempDir(), platform: map[string]*process{}, keys: map[string]string{}}
+	c := &cluster{t: t, dir: t.TempDir(), platform: map[string]*process{}, keys: map[string]string{}, settings: strings.Join(settings, "\n")}
 	path := filepath.Join(c.dir, "cell.ini")
 	data := fmt.Sprintf(cellFile, base, base+1, base+2, base+platformPorts, entries.String())
 	assert.NilError(t, os.WriteFile(path, []byte(data), 0o600))
@@ -220,9 +221,9 @@
 		peers = append(peers, other.PeerAddress)
 	}
 	path := filepath.Join(c.dir, host.Name+".ini")
-	data := fmt.Sprintf("[entry]\nname = %s\nplace = %s\nhttp-address = %s\npeer-address = %s\npeers = %s\n"+
+	data := fmt.Sprintf("[entry]\nname = %s\nplace = %s\nhttp-address = %s\npeer-address = %s\npeers = %s\n%s\n"+
 		"[store]\naddress = %s\n[host-list]\naddress = %s\n[operator]\nkey-hash = %s\n[log]\nlevel = info\n",
-		host.Name, host.Place, host.HTTPAddress, host.PeerAddress, strings.Join(peers, ","),
+		host.Name, host.Place, host.HTTPAddress, host.PeerAddress, strings.Join(peers, ","), c.settings,
 		c.cell.StoreAddress, c.cell.HostListAddress, config.HashKey(operatorKey))
 	assert.NilError(c.t, os.WriteFile(path, []byte(data), 0o600))
 	c.entries[i] = c.startProgram(host.Name, "turmericspread", "serve", "--settings", path)
@@ -257,16 +258,20 @@
 // residentMB returns the resident memory of the process in MiB.
 func (p *process) residentMB(t testing.TB) float64 {
 	t.Helper()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	assert.NilError(t, err)
+	mb := p.statusMB("VmRSS:")
+	assert.Assert(t, mb > 0, "VmRSS is missing in the status of the process")
+	return mb
+}
+
+// statusMB returns a field of the status of the process in MiB, or 0 if the process has ended.
+func (p *process) statusMB(field string) float64 {
+	data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
 	for line := range strings.SplitSeq(string(data), "\n") {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 64)
-			assert.NilError(t, err)
+		if rest, ok := strings.CutPrefix(line, field); ok {
+			kb, _ := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 64)
 			return kb / 1024
 		}
 	}
-	t.Fatal("VmRSS is missing in the status of the process")
 	return 0
 }
 
