entry: bound the connections and the messages of peers, by the memory of the machine

Seen by callers: 80 connections to the peer port of `turmericspread serve` that sent messages without end took 1,154 MB, and 800 idle ones as many descriptors; bodies of clients took up to 309 MB on a machine of 96 MB.

Cause: only the listeners of hosts had bounds for peers, and the process did not know the memory of its machine: the bounds for callers assumed 512 MB, and the garbage collector had none.

Change: the setting memory-mb in [entry]; both listeners take their bounds from connlimit.Derive, as the listeners of hosts do, and report and count closed connections in the same way (connlimit.NewLoggedGroup). Without the setting, callers have the bounds of before.

Why it works: the same functions reserve what arrives before it is buffered, so that the sum of both listeners stays a third of the memory, and the collector keeps garbage below half of it.

TestWholePath and TestIdleCost pass.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -11,6 +11,7 @@
 
 	"turmericspread.org/turmericspread/internal/entry"
 	"turmericspread.org/turmericspread/internal/event"
+	"turmericspread.org/turmericspread/internal/memlimit"
 	"turmericspread.org/turmericspread/internal/settings"
 )
 
@@ -39,6 +40,7 @@
 // serve runs an entry process. The first signal to stop starts a graceful shutdown, a
 // second one aborts it.
 func serve(ctx context.Context, set settings.Settings) (err error) {
+	memlimit.Apply(set.Entry.MemoryMB)
 	log := event.NewLogger(os.Stderr, set.Log.Level, set.Log.Format)
 	e := entry.New(set, log)
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/connlimit/group.go
+++ b/internal/connlimit/group.go
@@ -7,6 +7,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"turmericspread.org/turmericspread/internal/event"
 )
 
 // Group is the connections of one listener.
@@ -46,6 +50,15 @@
 	return g
 }
 
+// NewLoggedGroup is NewGroup with a log event for connections that were closed or refused.
+func NewLoggedGroup(name string, bounds Bounds, log zerolog.Logger) *Group {
+	g := NewGroup(name, bounds)
+	g.OnClosed = func(group, reason string, n int64) {
+		event.ConnectionsClosed.Log(log).Str("listener", group).Str("reason", reason).Int64("connections", n).Send()
+	}
+	return g
+}
+
 // Target is a connection as the group closes it.
 type Target interface {
 	// CloseNow closes the connection without a response.
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -48,6 +48,8 @@
 	srv.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
 		e.publish()
 		metrics.WritePrometheus(c.Response.BodyWriter(), true)
+		e.callerConnections.WriteMetrics(c.Response.BodyWriter())
+		e.peerConnections.WriteMetrics(c.Response.BodyWriter())
 	})
 	srv.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.SetStatusCode(200) })
 	srv.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,8 +62,10 @@
 	started    time.Time
 	group      sync.WaitGroup
 	httpServer *server.Hertz
-	runCtx     context.Context
-	abort      context.CancelFunc
+	// The connections of the two listeners.
+	callerConnections, peerConnections *connlimit.Group
+	runCtx                             context.Context
+	abort                              context.CancelFunc
 
 	// The remaining fields are used only on the control goroutine.
 	tracker        *shard.Tracker
@@ -140,6 +142,7 @@
 		firstSeen:      map[shard.Instance]time.Time{},
 		storeOK:        true,
 	}
+	e.initConnections()
 	e.tables.Store(config.New())
 	e.runCtx, e.abort = context.WithCancel(context.Background())
 	e.Network = Network{
@@ -171,6 +174,7 @@
 		_ = peerListener.Close()
 		return err
 	}
+	peerListener = peer.LimitListener(peerListener, e.peerConnections)
 	e.spawn(func() { e.loop.Run(e.runCtx) })
 	e.spawn(func() { _ = peer.Serve(e.runCtx, peerListener, e.mux()) })
 	e.spawn(func() { e.watchStore(e.runCtx) })
@@ -204,7 +208,7 @@
 		return nil, err
 	}
 	e.httpServer = httpserve.New(listener, httpserve.Options{
-		MaxBody: bodyReadFactor * e.Settings.Limits.BodyBytes, Group: connlimit.NewGroup("callers", e.callerBounds()),
+		MaxBody: bodyReadFactor * e.Settings.Limits.BodyBytes, Group: e.callerConnections,
 	})
 	e.httpServer.Use(e.limitBody)
 	e.routes(e.httpServer)
@@ -212,14 +216,19 @@
 	return done, nil
 }
 
-// callerBounds bounds the connections of callers. The memory of the machine is not known, but a
-// body that is read must fit, with the memory for decoding it.
-func (e *Entry) callerBounds() connlimit.Bounds {
+// initConnections creates the groups of the connections of callers and of peers. Their bounds are
+// derived from the memory of the machine, but a body that is read must fit, with the memory for
+// decoding it. If the memory is unknown, the setting alone bounds the connections of callers.
+func (e *Entry) initConnections() {
 	const decodedBodies = 4 * bodyReadFactor
-	derived := connlimit.Derive(0, connlimit.Descriptors()).Callers
-	return connlimit.Bounds{
-		Connections: e.Settings.Limits.Connections, Bytes: max(derived.Bytes, int64(decodedBodies*e.Settings.Limits.BodyBytes)),
+	largest := int64(decodedBodies * e.Settings.Limits.BodyBytes)
+	limits := connlimit.Derive(e.Settings.Entry.MemoryMB, connlimit.Descriptors())
+	limits.Callers.Bytes, limits.Peers.Bytes = max(limits.Callers.Bytes, largest), max(limits.Peers.Bytes, largest)
+	if set := e.Settings.Limits.Connections; e.Settings.Entry.MemoryMB == 0 || set < limits.Callers.Connections {
+		limits.Callers.Connections = set
 	}
+	e.callerConnections = connlimit.NewLoggedGroup("callers", limits.Callers, e.Log)
+	e.peerConnections = connlimit.NewLoggedGroup("peers", limits.Peers, e.Log)
 }
 
 // stopHTTP stops the HTTP server after the requests in flight, at the latest
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -76,7 +76,7 @@
 // decodeHost decodes all sections of file. The error names the first invalid value, or
 // the first unknown section or key.
 func decodeHost(file *inifile.File) (set Host, err error) {
-	const maxPower, maxMemoryMB = 1024, 1 << 30
+	const maxPower = 1024
 	entry := file.Section("entry")
 	set.Name = entry.Name("name", "")
 	set.Place = entry.Name("place", "")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,7 @@
 	HTTPAddress string   // serves callers and operators
 	PeerAddress string   // serves other entry processes
 	Peers       []string // addresses of peers to query while the store is unavailable
+	MemoryMB    int64    // memory of the machine, or 0 if it is unknown
 }
 
 // Store is the section [store]: the platform's key-value service.
@@ -128,6 +129,7 @@
 		HTTPAddress: entry.Address("http-address", ""),
 		PeerAddress: entry.Address("peer-address", ""),
 		Peers:       entry.Addresses("peers"),
+		MemoryMB:    entry.Int("memory-mb", 0, 0, maxMemoryMB),
 	}
 	store := file.Section("store")
 	set.Store = Store{
@@ -174,6 +176,9 @@
 	return set, file.Check()
 }
 
+// maxMemoryMB bounds the memory of a machine in the settings: a petabyte.
+const maxMemoryMB = 1 << 30
+
 // hashLength is the length of a SHA-256 hash in hexadecimal digits.
 const hashLength = 64
 
@@ -181,8 +186,8 @@
 // operator key is redacted.
 func (s Settings) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[entry]\nname = %s\nplace = %s\nhttp-address = %s\npeer-address = %s\npeers = %s\n\n",
-		s.Entry.Name, s.Entry.Place, s.Entry.HTTPAddress, s.Entry.PeerAddress, strings.Join(s.Entry.Peers, ", "))
+	fmt.Fprintf(&b, "[entry]\nname = %s\nplace = %s\nhttp-address = %s\npeer-address = %s\npeers = %s\nmemory-mb = %d\n\n",
+		s.Entry.Name, s.Entry.Place, s.Entry.HTTPAddress, s.Entry.PeerAddress, strings.Join(s.Entry.Peers, ", "), s.Entry.MemoryMB)
 	fmt.Fprintf(&b, "[store]\naddress = %s\ntimeout = %s\n\n", s.Store.Address, s.Store.Timeout)
 	fmt.Fprintf(&b, "[host-list]\naddress = %s\npoll = %s\nlag = %s\n\n", s.HostList.Address, s.HostList.Poll, s.HostList.Lag)
 	fmt.Fprintf(&b, "[operator]\nkey-hash = (redacted)\n\n")
