host: check jobs that other hosts tell the owner of

Seen: one small message to the peer port with a job of 2^40 tasks ended the owner's process, or took 10,470 MB; messages with 100,000 empty steps took 250 MB, and whole jobs that are in no store were kept without a bound (229 MB).

Cause: the owner took a job of a peer as it was decoded. Only the adapter for clients checked jobs.

Change: the owner checks it (work.Job.Check), decoding bounds its lists (work.DecodeJob), and a job without a reservation is kept only while hosts that observe the limit may have stored it (backlog.Ledger.Expects). Any other one is found by the watch if it is in the store.

Why it works: what can be kept through this call is at most half of the limit of the cell, and the room that the owner grants to other accounts does not shrink with it.

--- a/internal/backlog/backlog_test.go
+++ b/internal/backlog/backlog_test.go
@@ -61,6 +61,19 @@
 	assert.Assert(t, l.Reserve(Request{Job: "second", Account: r.Account, Bytes: largest}, limit, 0))
 }
 
+func TestExpects(t *testing.T) {
+	const limit = 32 * mib
+	var l Ledger
+	for i := 0; l.Expects(fmt.Sprint(i), mib, limit); i++ {
+		l.Add(fmt.Sprint(i), Account{Queue: "of strangers"}, mib)
+	}
+	accepted, _ := l.Used()
+	assert.Equal(t, accepted, int64(limit/2))
+	r := Request{Job: "small", Account: Account{Team: "small"}, Bytes: mib, Hold: time.Minute}
+	assert.Assert(t, l.Reserve(r, limit, 0))
+	assert.Assert(t, l.Expects(r.Job, r.Bytes, limit))
+}
+
 func TestReservationsExpire(t *testing.T) {
 	const limit = 32 * mib
 	var l Ledger
--- a/internal/backlog/ledger.go
+++ b/internal/backlog/ledger.go
@@ -68,6 +68,14 @@
 	return true
 }
 
+// Expects reports whether hosts that observe the limit may have stored a job that the ledger does
+// not count yet: its room is reserved, or it fits into their windows. It handles the load of
+// strangers that tell the owner of jobs which are not stored.
+func (l *Ledger) Expects(job string, bytes, limit int64) bool {
+	_, reserved := l.reservations[job]
+	return reserved || l.accepted+bytes <= 2*limit/windowFraction
+}
+
 // release ends the reservation of a job if there is one.
 func (l *Ledger) release(job string) {
 	r, ok := l.reservations[job]
--- a/internal/cell/footprint.go
+++ b/internal/cell/footprint.go
@@ -42,6 +42,13 @@
 	return o.ledger.Reserve(r, limit, o.Now())
 }
 
+// Expects reports whether a host that observes the limit may have stored the job, or the job is
+// known.
+func (o *Owner) Expects(spec *work.Job) bool {
+	limit := o.BacklogLimit()
+	return o.jobs[spec.ID] != nil || limit == 0 || o.ledger.Expects(spec.ID, Footprint(spec), limit)
+}
+
 // BacklogReport returns what the hosts have to know of the accepted jobs.
 func (o *Owner) BacklogReport() backlog.Report { return o.ledger.Report(o.BacklogLimit(), o.Epoch) }
 
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -259,8 +259,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := job.Check(); err != nil {
+		return nil, err
+	}
 	out = &ownerReply{}
 	err = h.loop.Call(ctx, func() {
+		// A job that is in the store although it is not expected is found by the watch, and its
+		// host repeats the notification until then. One that is not stored is not kept.
+		if h.cellOwner != nil && !h.cellOwner.Expects(job) {
+			return
+		}
 		if out.Owner = h.acceptLocally(job); out.Owner {
 			out.Backlog = h.backlogReport()
 		}
--- a/internal/work/record.go
+++ b/internal/work/record.go
@@ -57,11 +57,21 @@
 	return cbor.Marshal(j)
 }
 
-// DecodeJob decodes a job read from the store.
+// jobDecoding bounds the lists of a job, each element of which takes far more memory decoded than
+// encoded: no list of a job is longer than that of its steps.
+var jobDecoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: MaxSteps}.DecMode()
+	if err != nil {
+		panic(err) // the option is a constant inside the range of the library
+	}
+	return mode
+}()
+
+// DecodeJob decodes a job from the store or from another host.
 func DecodeJob(data []byte) (j *Job, err error) {
 	defer Error.WrapP(&err)
 	j = new(Job)
-	if err := cbor.Unmarshal(data, j); err != nil {
+	if err := jobDecoding.Unmarshal(data, j); err != nil {
 		return nil, err
 	}
 	return j, nil
