peer: reserve what a message takes decoded

Seen: messages of 100 KB to the peer port, with lists of empty entries, took 305 MB on a host of 96 MB.

Cause: the listener reserved three times the bytes of a message, but an element of one byte takes up to a hundred times as much decoded.

Change: the data items of a message are counted before it is decoded, and 160 bytes for each are reserved at its connection until the handler returns, or the next message of a stream is received.

Why it works: the reservation is made in the group that bounds the listener, before the memory is used, so decoded messages and messages in progress share one bound.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -80,7 +80,9 @@
 func Handle[In, Out any](m *Mux, rpc string, fn func(ctx context.Context, in *In) (out *Out, err error)) {
 	m.handlers[rpc] = func(stream drpc.Stream) (err error) {
 		in := new(In)
-		if err := stream.MsgRecv(in, encoding{}); err != nil {
+		release, err := receive(stream.Context(), stream, in)
+		defer release()
+		if err != nil {
 			return Error.Wrap(err)
 		}
 		out, err := fn(stream.Context(), in)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -8,7 +8,10 @@
 
 // Stream is an open bidirectional stream of messages with another process. One
 // goroutine may send while another receives.
-type Stream[Out, In any] struct{ stream drpc.Stream }
+type Stream[Out, In any] struct {
+	stream  drpc.Stream
+	release func() // ends the reservation for the message received last
+}
 
 // Open opens a stream of the call named rpc. The stream ends with ctx.
 func Open[Out, In any](ctx context.Context, c *Client, address, rpc string) (s *Stream[Out, In], err error) {
@@ -18,14 +21,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Stream[Out, In]{stream}, nil
+	return &Stream[Out, In]{stream: stream, release: func() {}}, nil
 }
 
 // HandleStream registers fn for streams of the call named rpc. The stream ends
 // when fn returns.
 func HandleStream[In, Out any](m *Mux, rpc string, fn func(ctx context.Context, s *Stream[Out, In]) error) {
 	m.handlers[rpc] = func(stream drpc.Stream) error {
-		return Error.Wrap(fn(stream.Context(), &Stream[Out, In]{stream}))
+		s := &Stream[Out, In]{stream: stream, release: func() {}}
+		defer func() { s.release() }()
+		return Error.Wrap(fn(stream.Context(), s))
 	}
 }
 
@@ -35,11 +40,13 @@
 	return s.stream.MsgSend(msg, encoding{})
 }
 
-// Receive waits for the next message.
+// Receive waits for the next message. The memory that the message takes decoded stays reserved
+// until the next call.
 func (s *Stream[Out, In]) Receive() (msg *In, err error) {
 	defer Error.WrapP(&err)
+	s.release()
 	msg = new(In)
-	if err := s.stream.MsgRecv(msg, encoding{}); err != nil {
+	if s.release, err = receive(s.stream.Context(), s.stream, msg); err != nil {
 		return nil, err
 	}
 	return msg, nil
