carrier: bound the requests in progress

Seen: 100,000 empty orders in one message took 4,566 MB on a host of 96 MB.

Cause: a carrier starts a goroutine for each order at once, with a time limit that the sender sets, and keeps responses that nobody reads.

Change: carrier.Server.Slots bounds the orders in progress by the memory of the machine (144 MB: 288, at least two for each worker of a carrier); the next one waits for a place. The time of an order is at most 10 s, and a stream with 4,096 unread responses ends.

Why it works: reading stops while all places are taken, so what waits stays in the message, which is reserved at its connection.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -242,3 +243,41 @@
 	assert.Assert(t, work.IsRefusal(got.err))
 	assert.Assert(t, !h.client.Available("c-1"))
 }
+
+// TestSlots guards against owners, or strangers, that make a carrier execute any number of
+// requests at the same time.
+func TestSlots(t *testing.T) {
+	const slots, requests = 3, 20
+	var running, most, done atomic.Int64
+	begin := make(chan struct{})
+	server := &Server{
+		Spawn: func(fn func()) { go fn() }, Leaving: func() bool { return false }, Slots: make(chan struct{}, slots),
+		Targets: Targets{Stop: func(context.Context, work.Worker, work.RunRequest) (work.RunResponse, error) {
+			most.Store(max(most.Load(), running.Add(1)))
+			<-begin
+			running.Add(-1)
+			done.Add(1)
+			return work.RunResponse{}, nil
+		}},
+	}
+	batch := &RequestBatch{}
+	for i := range requests {
+		batch.List = append(batch.List, Request{Number: uint64(i), Timeout: time.Second, Stop: &work.RunRequest{}})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &pipe{ctx: ctx, requests: make(chan *RequestBatch, 1), responses: make(chan *ResponseBatch, requests)}
+	p.requests <- batch
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, serverEnd{p}) }()
+	for start := time.Now(); running.Load() < slots && time.Since(start) < 10*time.Second; time.Sleep(time.Millisecond) {
+	}
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, running.Load(), int64(slots))
+	close(begin)
+	for start := time.Now(); done.Load() < requests && time.Since(start) < 10*time.Second; time.Sleep(time.Millisecond) {
+	}
+	assert.Equal(t, done.Load(), int64(requests))
+	assert.Equal(t, most.Load(), int64(slots))
+	cancel()
+	assert.Assert(t, <-ended != nil)
+}
--- a/internal/carrier/outbox.go
+++ b/internal/carrier/outbox.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// len returns the number of collected entries.
+func (b *outbox[T]) len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.list)
+}
+
 // takeAll returns the collected entries and removes them.
 func (b *outbox[T]) takeAll() (list []T) {
 	b.mu.Lock()
--- a/internal/carrier/server.go
+++ b/internal/carrier/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"turmericspread.org/turmericspread/internal/work"
 )
@@ -20,11 +21,22 @@
 	Targets Targets
 	// Spawn runs a function on another goroutine.
 	Spawn func(fn func())
+	// Slots bounds the requests in progress, of all streams: each takes one place in it. If
+	// it is nil, they are unbounded.
+	Slots chan struct{}
 	// Leaving reports whether this host is shutting down. It then rejects new
 	// requests and still responds to those in progress.
 	Leaving func() bool
 }
 
+const (
+	// maxTimeout bounds the time for one request. A renewal takes 2.5 s at most.
+	maxTimeout = 10 * time.Second
+	// maxUnsent is the number of responses that may wait for an owner that does not read them: more
+	// than the requests to the workers of one carrier in a second.
+	maxUnsent = 4096
+)
+
 // ServerStream is the carrier's end of a connection.
 type ServerStream interface {
 	Send(msg *ResponseBatch) error
@@ -47,21 +59,50 @@
 			return err
 		}
 		for i := range msg.List {
-			s.handle(ctx, &msg.List[i], out)
+			if out.len() > maxUnsent {
+				return Error.New("%d responses are not read", out.len())
+			}
+			if err := s.acquire(ctx); err != nil {
+				return err
+			}
+			request := msg.List[i] // the list does not stay in memory for it
+			s.handle(ctx, &request, out)
 		}
 	}
 }
 
-// handle executes a request in the background and queues its response. If the
-// host is shutting down, the request is rejected.
+// acquire waits for a slot.
+func (s *Server) acquire(ctx context.Context) (err error) {
+	if s.Slots == nil {
+		return nil
+	}
+	select {
+	case s.Slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// release frees a slot.
+func (s *Server) release() {
+	if s.Slots != nil {
+		<-s.Slots
+	}
+}
+
+// handle executes a request, for which a slot was acquired, in the background and queues its
+// response. If the host is shutting down, the request is rejected.
 func (s *Server) handle(ctx context.Context, request *Request, out *outbox[Response]) {
 	if s.Leaving() {
+		s.release()
 		response := Response{Number: request.Number}
 		response.setError(work.ErrNotSent)
 		out.add(response)
 		return
 	}
 	s.Spawn(func() {
+		defer s.release()
 		response, err := s.Execute(ctx, request)
 		response.setError(err)
 		out.add(response)
@@ -70,7 +111,7 @@
 
 // Execute calls the worker that the request is addressed to.
 func (s *Server) Execute(ctx context.Context, request *Request) (response Response, err error) {
-	ctx, cancel := context.WithTimeout(ctx, request.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, min(request.Timeout, maxTimeout))
 	defer cancel()
 	response.Number = request.Number
 	w := work.Worker{ID: request.Worker, Address: request.Address, Born: request.Born}
--- a/internal/host/carry.go
+++ b/internal/host/carry.go
@@ -26,6 +26,27 @@
 	workersPerCarrier = 90
 )
 
+const (
+	// carriedBytes is what a request takes that a carrier executes: its goroutine and its
+	// connection to the worker.
+	carriedBytes = 32 << 10
+	// carriedFraction is the part of the memory that the requests of all owners may take on a
+	// carrier.
+	carriedFraction = 16
+	// defaultCarrierSlots is used if the memory is unknown, and minCarrierSlots on small hosts:
+	// more than two requests at a time for each worker of a carrier.
+	defaultCarrierSlots, minCarrierSlots = 1024, 2*workersPerCarrier
+)
+
+// carrierSlots returns the number of requests that a carrier with the given memory in MB (0:
+// unknown) executes at the same time.
+func carrierSlots(memoryMB int64) int {
+	if memoryMB <= 0 {
+		return defaultCarrierSlots
+	}
+	return max(int(memoryMB<<20/carriedFraction/carriedBytes), minCarrierSlots)
+}
+
 // newCarrierClient returns the client through which an owner uses its carriers.
 func (h *Host) newCarrierClient() *carrier.Client {
 	c := carrier.New()
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -234,7 +234,10 @@
 	h.store = &kvstore.Client{Do: h.observeStore(h.relay.Do), Timeout: storeTimeout, LargeTimeout: largeTimeout}
 	h.initHolding()
 	h.adviceBalancer.pending, h.adviceBalancer.cooldownUntil = map[string]time.Duration{}, map[string]time.Time{}
-	h.carrierServer = &carrier.Server{Targets: h.observeWorkers(h.Targets.Targets), Spawn: h.spawn, Leaving: h.stopping.Load}
+	h.carrierServer = &carrier.Server{
+		Targets: h.observeWorkers(h.Targets.Targets), Spawn: h.spawn, Leaving: h.stopping.Load,
+		Slots: make(chan struct{}, carrierSlots(h.MemoryMB)),
+	}
 	listener, err := h.Listen(h.PeerAddress)
 	if err != nil {
 		return err
