--- a/internal/host/carry.go
+++ b/internal/host/carry.go
@@ -35,7 +35,7 @@
 	carriedFraction = 16
 	// defaultCarrierSlots is used if the memory is unknown, and minCarrierSlots on small hosts:
 	// more than two requests at a time for each worker of a carrier.
-	defaultCarrierSlots, minCarrierSlots = 1024, 2*workersPerCarrier
+	defaultCarrierSlots, minCarrierSlots = 1024, 2 * workersPerCarrier
 )
 
 // carrierSlots returns the number of requests that a carrier with the given memory in MB (0:
