cell: count reservations and the names of jobs

Found by reading: a request for room with no bytes, a long ID or a long hold, which only a stranger at the peer port sends, took memory that was not counted. Rejections that are not confirmed had neither a log line nor a count. The three calls to the owner of the cell shared their code by copies.

--- a/internal/cell/footprint.go
+++ b/internal/cell/footprint.go
@@ -11,7 +11,7 @@
 // with the heap.
 const (
 	// jobBytes is for a job without steps: its own fields, those of its specification and its
-	// policy, its ID and its place in the index.
+	// policy, and its place in the index.
 	jobBytes = 1280
 	// stepSpecBytes is for the specification of a step without its texts.
 	stepSpecBytes = 192
@@ -22,23 +22,34 @@
 	taskBytes = 640
 )
 
+// maxReservation bounds how long room stays reserved: the longest deadline of a client is a minute,
+// and a write without a response may be applied later.
+const maxReservation = 2 * time.Minute
+
+// endedFootprint returns the bytes that an owner needs for a job that has ended.
+func endedFootprint(spec *work.Job) int64 {
+	return int64(jobBytes + len(spec.ID) + len(spec.Team) + len(spec.Queue))
+}
+
 // Footprint returns the bytes that an owner needs for a job that has not ended, at most.
 func Footprint(spec *work.Job) int64 {
-	n := jobBytes + len(spec.Payload)
+	n := len(spec.Payload)
 	for i := range spec.Steps {
 		s := &spec.Steps[i]
 		n += stepSpecBytes + len(s.Label) + len(s.Rack) + len(s.Image) + 8*len(s.After)
 	}
-	return int64(n) + int64(spec.Occurrences())*int64(stepBytes*len(spec.Steps)+taskBytes*spec.TasksPerOccurrence())
+	return endedFootprint(spec) + int64(n) + int64(spec.Occurrences())*int64(stepBytes*len(spec.Steps)+taskBytes*spec.TasksPerOccurrence())
 }
 
 // Reserve reserves room for a job that is about to be stored. A job that is already known needs
-// none.
+// none. At least the reservation itself is counted, and it ends.
 func (o *Owner) Reserve(r backlog.Request) (granted bool) {
 	limit := o.BacklogLimit()
 	if _, ok := o.jobs[r.Job]; ok || limit == 0 {
 		return true
 	}
+	r.Bytes = max(r.Bytes, endedFootprint(&work.Job{ID: r.Job, Team: r.Account.Team, Queue: r.Account.Queue}))
+	r.Hold = min(r.Hold, maxReservation)
 	return o.ledger.Reserve(r, limit, o.Now())
 }
 
@@ -57,7 +68,7 @@
 
 // countJob counts a job that has become known.
 func (o *Owner) countJob(j *job) {
-	j.bytes = jobBytes
+	j.bytes = endedFootprint(j.spec)
 	if len(j.steps) > 0 {
 		j.bytes = Footprint(j.spec)
 	}
@@ -78,7 +89,7 @@
 	account := backlog.AccountOf(j.spec)
 	o.ledger.Remove(account, j.bytes)
 	j.spec, j.steps, j.tasks = endedJob(j.spec), nil, nil
-	j.bytes = jobBytes
+	j.bytes = endedFootprint(j.spec)
 	o.ledger.Add(j.spec.ID, account, j.bytes)
 }
 
--- a/internal/host/room.go
+++ b/internal/host/room.go
@@ -8,7 +8,6 @@
 	"turmericspread.org/turmericspread/internal/backlog"
 	"turmericspread.org/turmericspread/internal/cell"
 	"turmericspread.org/turmericspread/internal/event"
-	"turmericspread.org/turmericspread/internal/peer"
 	"turmericspread.org/turmericspread/internal/work"
 )
 
@@ -52,25 +51,6 @@
 	return roomReply{Owner: true, Granted: h.cellOwner.Reserve(in.Room), Backlog: h.cellOwner.BacklogReport()}
 }
 
-// queryRoom asks the owner of the cell once. The reply is empty if the owner cannot be reached.
-func (h *Host) queryRoom(ctx context.Context, in *roomRequest) (reply roomReply) {
-	v := h.view.Load()
-	if !v.known {
-		return roomReply{}
-	}
-	callCtx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
-	defer cancel()
-	if v.owner.Instance == h.instance {
-		_ = h.loop.Call(callCtx, func() { reply = h.localRoom(in) })
-		return reply
-	}
-	got, err := peer.Call[roomRequest, roomReply](callCtx, h.peers, v.owner.Address, callRoom, in)
-	if err != nil {
-		return roomReply{}
-	}
-	return *got
-}
-
 // room is the memory of the cell's owner that a submission of this host occupies.
 type room struct {
 	host  *Host
@@ -93,7 +73,7 @@
 		if at, ok := ctx.Deadline(); ok {
 			request.Room.Hold += time.Until(at)
 		}
-		reply := h.queryRoom(ctx, request)
+		reply := queryOwner(ctx, h, callRoom, request, func() roomReply { return h.localRoom(request) })
 		if reply.Owner {
 			h.window.Observe(reply.Backlog)
 			if reply.Granted {
@@ -128,6 +108,7 @@
 func (h *Host) confirmRefusal(ctx context.Context, job *work.Job, bytes int64, report backlog.Report) (err error) {
 	limit := max(confirmationsPerSecond/max(len(h.view.Load().members), 1), minConfirmations)
 	if !h.stats.confirmations.allow(time.Now(), int64(limit)) {
+		h.countRejected(job.Queue, "unconfirmed")
 		return ErrUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, knownIDTimeout)
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -26,19 +26,25 @@
 // queryOwnerState queries the owner of the cell for the state of a job. The
 // reply is empty if the owner cannot be reached.
 func (h *Host) queryOwnerState(ctx context.Context, id string) (reply stateReply) {
+	return queryOwner(ctx, h, callState, &stateRequest{ID: id}, func() stateReply { return h.localState(id) })
+}
+
+// queryOwner makes one call to the owner of the cell. If this host is the owner, it calls local
+// instead. The reply is empty if the owner cannot be reached.
+func queryOwner[In, Out any](ctx context.Context, h *Host, call string, in *In, local func() Out) (reply Out) {
 	v := h.view.Load()
 	if !v.known {
-		return stateReply{}
+		return reply
 	}
 	callCtx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
 	defer cancel()
 	if v.owner.Instance == h.instance {
-		_ = h.loop.Call(callCtx, func() { reply = h.localState(id) })
+		_ = h.loop.Call(callCtx, func() { reply = local() })
 		return reply
 	}
-	got, err := peer.Call[stateRequest, stateReply](callCtx, h.peers, v.owner.Address, callState, &stateRequest{ID: id})
+	got, err := peer.Call[In, Out](callCtx, h.peers, v.owner.Address, call, in)
 	if err != nil {
-		return stateReply{}
+		return reply
 	}
 	return *got
 }
@@ -160,19 +166,5 @@
 // queryOwnerPending queries the owner of the cell for the number of pending
 // jobs. The reply is empty if the owner cannot be reached.
 func (h *Host) queryOwnerPending(ctx context.Context, queue string) (reply pendingReply) {
-	v := h.view.Load()
-	if !v.known {
-		return pendingReply{}
-	}
-	callCtx, cancel := context.WithTimeout(ctx, ownerQueryTimeout)
-	defer cancel()
-	if v.owner.Instance == h.instance {
-		_ = h.loop.Call(callCtx, func() { reply = h.localPending(queue) })
-		return reply
-	}
-	got, err := peer.Call[pendingRequest, pendingReply](callCtx, h.peers, v.owner.Address, callPending, &pendingRequest{Queue: queue})
-	if err != nil {
-		return pendingReply{}
-	}
-	return *got
+	return queryOwner(ctx, h, callPending, &pendingRequest{Queue: queue}, func() pendingReply { return h.localPending(queue) })
 }
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -40,6 +40,9 @@
 	}
 	occupied, err := h.takeRoom(ctx, job)
 	if err != nil {
+		if errs.Is(err, ErrUnknown) && h.stats.rejectionLogs.allow(time.Now(), maxRejectionLogs) {
+			event.JobUnknown.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("reason", "no room confirmed").Send()
+		}
 		return err
 	}
 	key := jobPrefix + job.ID
