--- a/internal/e2e/crowd_test.go
+++ b/internal/e2e/crowd_test.go
@@ -89,17 +89,24 @@
 				})
 			}
 			group.Wait()
-			err := c.submitOne()
-			peak, descriptors := c.entries[0].statusMB("VmHWM:"), c.entries[0].descriptors()
-			t.Logf("peak %.0f MB, %d descriptors, submission: %v", peak, descriptors, err)
-			assert.Check(t, peak > 0, "the process has ended")
-			assert.Check(t, peak <= crowdMemoryMB, "peak resident memory in MB")
-			assert.Check(t, descriptors <= crowdDescriptors, "open descriptors")
-			assert.Check(t, err, "submission")
+			c.checkAlive(t)
 		})
 	}
 }
 
+// checkAlive checks that the first entry process lives within the memory and the descriptors of its
+// machine, and that it accepts a job.
+func (c *cluster) checkAlive(t *testing.T) {
+	t.Helper()
+	err := c.submitOne()
+	peak, descriptors := c.entries[0].statusMB("VmHWM:"), c.entries[0].descriptors()
+	t.Logf("peak %.0f MB, %d descriptors, submission: %v", peak, descriptors, err)
+	assert.Check(t, peak > 0, "the process has ended")
+	assert.Check(t, peak <= crowdMemoryMB, "peak resident memory in MB")
+	assert.Check(t, descriptors <= crowdDescriptors, "open descriptors")
+	assert.Check(t, err, "submission")
+}
+
 // submitOne submits a job as an ordinary client does, with retries.
 func (c *cluster) submitOne() (err error) {
 	for range 10 {
@@ -119,3 +126,23 @@
 	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
 	return len(entries)
 }
+
+// TestFloodAtEntry guards against clients that submit more work than the owners of the shards can
+// hold: 80 of them submit jobs of 1,000 tasks, 200 each, of which a few run at a time.
+func TestFloodAtEntry(t *testing.T) {
+	const clients, jobs, tasks = 80, 200, 1000
+	c := newCluster(t, 1, "memory-mb = "+strconv.Itoa(crowdMemoryMB))
+	end := time.Now().Add(crowdPatience)
+	var group sync.WaitGroup
+	for range clients {
+		group.Go(func() {
+			for sent := 0; sent < jobs && time.Now().Before(end); sent++ {
+				ctx, cancel := context.WithTimeout(t.Context(), crowdPatience)
+				_, _ = c.clients[0].Submit(ctx, smallJob("report", tasks, `{}`))
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	c.checkAlive(t)
+}
--- a/internal/host/room.go
+++ b/internal/host/room.go
@@ -19,7 +19,7 @@
 	// owner that responds. A takeover takes about a second.
 	roomRetryInterval = 100 * time.Millisecond
 	// lateWriteSpan is how long after its call a write without a response may still be applied:
-	// the platform's traps tell of up to 12 seconds.
+	// calls that the platform delays are carried out up to 12 seconds later.
 	lateWriteSpan = 12 * time.Second
 	// confirmationsPerSecond bounds the reads of the store, from all hosts together, that
 	// confirm a refusal. The store serves 6,000 reads a second.
