demo: listen below the range of outgoing connections

Cause: the demo took its ports from the range of outgoing connections, where each connection keeps its port for a minute after its end. TestFlood leaves 31,085 of them, nearly all to the store.

Change: ports are chosen at random from 10,000 to 15,999.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -178,19 +179,19 @@
 	return nil
 }
 
+// Ports that the demo listens on. They are below the range of outgoing connections, each of which
+// keeps its port for a minute after its end.
+const firstPort, ports = 10000, 6000
+
 // freeAddress returns a loopback address at which n consecutive ports are free. It
 // releases them before it returns, so that another process may take one of them.
 func freeAddress(n int) (address string, err error) {
 	const attempts = 100
 	for range attempts {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return "", err
-		}
-		address = first.Addr().String()
-		base := first.Addr().(*net.TCPAddr).Port
-		listeners := []net.Listener{first}
-		for i := 1; i < n && err == nil; i++ {
+		base := firstPort + rand.IntN(ports-n)
+		address = fmt.Sprintf("127.0.0.1:%d", base)
+		var listeners []net.Listener
+		for i := 0; i < n && err == nil; i++ {
 			var next net.Listener
 			next, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+i))
 			if err == nil {
@@ -203,6 +204,7 @@
 		if err == nil {
 			return address, nil
 		}
+		err = nil
 	}
 	return "", errors.New("no consecutive free ports on loopback")
 }
