--- a/internal/backlog/backlog.go
+++ b/internal/backlog/backlog.go
@@ -8,7 +8,9 @@
 // has not counted yet. Each confirmation by the owner carries the sum at that time, so that a
 // host learns of the end of the fast path before it can store more than its window again. All
 // other submissions are granted by the owner, which keeps the windows of all hosts free. The sum
-// is therefore never above L, although hosts know it only with a delay and owners change.
+// therefore stays below L, although hosts know it only with a delay. Reservations are not stored:
+// after a change of the owner the sum may exceed L by what was granted and is not stored yet. A
+// smaller host that joins lowers L below what was accepted before.
 //
 // # Usage
 //
