--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -120,12 +120,12 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-bales", "host": "bales.example", "pathPrefix": "/bales/", "timeoutMs": 30000, "targetLatencyMs": 1000, "priority": 0,
+			"name": "r-bales", "host": "bales.example", names["prefix"]: "/bales/", "timeoutMs": 30000, names["target"]: 1000, "priority": 0,
 			"service": "bales", "attempts": 3, "stretch": 2, "public": false,
 		}},
 		"services": []any{map[string]any{"name": "bales", "admissionCheck": false, "standby": false}},
 		"tenants": []any{map[string]any{
-			"name": "t1", "apiKeys": []string{key}, "weight": 10, "maximum": map[string]any{"cpu": 0, "memMb": 0, "gpu": 0},
+			"name": "t1", names["keys"]: []string{key}, "weight": 10, "maximum": map[string]any{"cpu": 0, names["memory"]: 0, "gpu": 0},
 		}},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 5000, "idleTimeoutMs": 30000},
 	}
@@ -307,7 +307,7 @@
 
 // step describes a step of a job.
 func step(count int, after ...int) map[string]any {
-	s := map[string]any{"count": count, "cpu": 500, "memMb": 256, "estimateMs": 4000}
+	s := map[string]any{"count": count, "cpu": 500, names["memory"]: 256, "estimateMs": 4000}
 	if len(after) > 0 {
 		s["after"] = after
 	}
