--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -186,6 +186,10 @@
 	c.store.put("op/config", config(7))
 	for i := range minions {
 		m := newMinion(fmt.Sprintf("bales-%d", i+1), runTime)
+		m.kind = "plain"
+		if i == 0 {
+			m.kind = "wide"
+		}
 		if m.address, err = serve(m); err != nil {
 			return c, err
 		}
@@ -341,7 +345,7 @@
 		fmt.Println(dir)
 	}
 	record("case", name, "trouble", trouble)
-	cases := map[string]func(program, dir string) int{"late-store": lateStore}
+	cases := map[string]func(program, dir string) int{"late-store": lateStore, "pending": pendingCount}
 	run, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/lab/minion.go
+++ b/review/lab/minion.go
@@ -22,14 +22,17 @@
 	address string
 	began   time.Time
 	born    int64
+	kind    string
 	runTime time.Duration
-	fence   int64
-	lease   int64
-	ends    int64
-	running map[runKey]time.Time
-	highest map[string]int64
-	ended   [][]any
-	changed chan struct{}
+	// unhealthy refuses starts with 503.
+	unhealthy bool
+	fence     int64
+	lease     int64
+	ends      int64
+	running   map[runKey]time.Time
+	highest   map[string]int64
+	ended     [][]any
+	changed   chan struct{}
 }
 
 func newMinion(id string, runTime time.Duration) *minion {
@@ -39,12 +42,19 @@
 	}
 }
 
+func (m *minion) setUnhealthy(unhealthy bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unhealthy = unhealthy
+	record("minion "+m.id, "unhealthy", "is", unhealthy)
+}
+
 // register writes the entry of the minion in the store about every heartbeat interval.
 func (m *minion) register(s *store) {
 	for seq := 1; ; seq++ {
 		s.put("servers/"+m.id, map[string]any{
 			"service": "bales", "address": m.address, "zone": "boyolali", "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0,
-			"seq": seq, "born": m.born, "machine": "m-" + m.id, "labels": []string{"plain", "r1"},
+			"seq": seq, "born": m.born, "machine": "m-" + m.id, "labels": []string{m.kind, "r1"},
 			"capacity": map[string]any{"cpu": 32000, names["memory"]: 64000, "gpu": 0},
 		})
 		time.Sleep(time.Second)
@@ -92,6 +102,11 @@
 	key := runKey{in.Task, in.Run}
 	switch r.URL.Path {
 	case names["start"]:
+		if m.unhealthy {
+			record("minion "+m.id, "refuses a start with 503", "task", in.Task, "run", in.Run)
+			reply(w, 503, map[string]any{"clockMs": m.clock(), "born": m.born})
+			return
+		}
 		if in.DeadlineMS < m.clock() {
 			refuse("late")
 			return
