--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -80,6 +80,7 @@
 type cell struct {
 	store   *store
 	minions []*minion
+	proxies []*proxy // of the minions
 	hosts   []*hostProcess
 	dir     string
 }
@@ -190,9 +191,16 @@
 		if i == 0 {
 			m.kind = "wide"
 		}
-		if m.address, err = serve(m); err != nil {
+		address, err := serve(m)
+		if err != nil {
+			return c, err
+		}
+		p, front, err := newProxy(address)
+		if err != nil {
 			return c, err
 		}
+		m.address, c.proxies = front, append(c.proxies, p)
+		go m.watchLease()
 		c.minions = append(c.minions, m)
 		go m.register(c.store)
 	}
@@ -345,7 +353,7 @@
 		fmt.Println(dir)
 	}
 	record("case", name, "trouble", trouble)
-	cases := map[string]func(program, dir string) int{"late-store": lateStore, "pending": pendingCount}
+	cases := map[string]func(program, dir string) int{"late-store": lateStore, "pending": pendingCount, "silent": silentMinions}
 	run, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/lab/minion.go
+++ b/review/lab/minion.go
@@ -120,7 +120,9 @@
 			m.running[key] = time.Now()
 			record("minion "+m.id, "start", "task", in.Task, "run", in.Run, "spec", in.Spec)
 			started(in.Task)
-			time.AfterFunc(m.runTime, func() { m.finish(key) })
+			if m.runTime > 0 {
+				time.AfterFunc(m.runTime, func() { m.finish(key) })
+			}
 		}
 	case names["stop"]:
 		if _, ok := m.running[key]; ok {
@@ -141,10 +143,26 @@
 
 // lapse ends all runs if their lease has expired.
 func (m *minion) lapse() {
-	if m.clock() > m.lease {
-		for key := range m.running {
-			m.end(key, "lapsed")
-		}
+	if m.clock() <= m.lease {
+		return
+	}
+	away := 0
+	for key := range m.running {
+		m.end(key, "lapsed")
+		startsMu.Lock()
+		lapses = append(lapses, lapse{key.task, time.Now(), away})
+		startsMu.Unlock()
+		away++
+	}
+}
+
+// watchLease ends all runs as soon as their lease expires.
+func (m *minion) watchLease() {
+	for {
+		time.Sleep(10 * time.Millisecond)
+		m.mu.Lock()
+		m.lapse()
+		m.mu.Unlock()
 	}
 }
 
@@ -191,7 +209,10 @@
 func (m *minion) list(w http.ResponseWriter) {
 	running := [][]any{}
 	for key, since := range m.running {
-		percent := min(int(100*time.Since(since)/m.runTime), 99)
+		percent := 100 // of a task that lasts and is at work
+		if m.runTime > 0 {
+			percent = min(int(100*time.Since(since)/m.runTime), 99)
+		}
 		running = append(running, []any{key.task, key.run, "", percent, 0})
 	}
 	ended := m.ended
