--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -94,14 +95,25 @@
 // listen opens a listener on a free loopback port.
 func listen() (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
 
-// freeAddress returns a loopback address whose port is free.
+// taken has the addresses that freeAddress has returned.
+var taken = map[string]bool{}
+
+// freeAddress returns a loopback address whose port is free and below those that the system gives
+// out itself, so that nothing else takes it before the process that is to listen there.
 func freeAddress() (address string, err error) {
-	l, err := listen()
-	if err != nil {
-		return "", err
+	const first, count, attempts = 20000, 12000, 100
+	for range attempts {
+		address = fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))
+		var l net.Listener
+		if taken[address] {
+			continue
+		}
+		if l, err = net.Listen("tcp", address); err == nil {
+			taken[address] = true
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // serve serves a handler on a free loopback port.
@@ -361,5 +373,8 @@
 	}
 	status = run(program, dir)
 	record("case", "end", "status", status)
+	if status == failed {
+		fmt.Fprintln(os.Stderr, "the case couldn't run, see record.txt")
+	}
 	return status
 }
--- a/review/lab/minion.go
+++ b/review/lab/minion.go
@@ -35,6 +35,9 @@
 	changed   chan struct{}
 }
 
+// startTime is how long a minion takes to answer a start.
+const startTime = 5 * time.Millisecond
+
 func newMinion(id string, runTime time.Duration) *minion {
 	return &minion{
 		id: id, began: time.Now(), born: time.Now().UnixMilli(), runTime: runTime,
@@ -88,6 +91,9 @@
 		reply(w, 400, map[string]any{"error": err.Error()})
 		return
 	}
+	if r.URL.Path == names["start"] {
+		time.Sleep(startTime)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	refuse := func(reason string) {
