host: stop late writes of a job whose cancellation was answered 410

Cause: the store had received the write of the job and executed it 5.5 s later. Host.Cancel found no job and wrote nothing, and the write was conditional on the job's own key only. The same holds for a submission that a host holds during an outage while the cancellation arrives at another one.

Change: Cancel stores a tombstone for the account and the job before it returns ErrNoJob, on the condition that the job is not stored, and a job is written on the condition that neither it nor its tombstone exists. Both conditions are checked by the store at the time of execution, so one of the two writes fails whichever comes first. A submission that finds its tombstone is stored together with its cancellation, so the 200 stays true after a takeover. The key names the account, so a stranger's cancellation does not stop the job of another account.

TestBatches: a job has three entries in a transaction now instead of two, so MaxBatch is 10 instead of 15. The test still requires full batches in the same order.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -110,6 +110,8 @@
 	CallRefused            = define(1153, zerolog.InfoLevel, "call refused")
 	CancelStored           = define(1154, zerolog.InfoLevel, "cancellation stored")
 	CancelFailed           = define(1155, zerolog.WarnLevel, "cancellation not stored")
+	JobTombstoned          = define(1168, zerolog.InfoLevel, "cancellation stored of a job that is not stored")
+	TombstonesRemoved      = define(1169, zerolog.InfoLevel, "cancellations of jobs that were not stored removed")
 	StateUnknown           = define(1156, zerolog.WarnLevel, "state of a job could not be determined")
 	ConnectionsClosed      = define(1158, zerolog.WarnLevel, "connections closed or refused")
 	StoreDirectDown        = define(1160, zerolog.WarnLevel, "direct access to the store lost")
--- a/internal/hold/hold.go
+++ b/internal/hold/hold.go
@@ -23,9 +23,9 @@
 )
 
 const (
-	// MaxBatch bounds the jobs of a transaction, which has at most 32 entries: a condition
+	// MaxBatch bounds the jobs of a transaction, which has at most 32 entries: two conditions
 	// and a value for each job.
-	MaxBatch = 15
+	MaxBatch = 10
 	// maxBatchBytes bounds the values of a transaction. On the slowest links, half a
 	// megabyte takes longer than the timeout of a write.
 	maxBatchBytes = 128 << 10
--- a/internal/hold/hold_test.go
+++ b/internal/hold/hold_test.go
@@ -76,7 +76,7 @@
 		sizes = append(sizes, len(batch))
 		order = append(order, batch...)
 	}
-	assert.DeepEqual(t, sizes, []int{1, 15, 15, 5})
+	assert.DeepEqual(t, sizes, []int{1, 10, 10, 10, 5})
 	assert.Equal(t, order[0], large)
 	for i := 1; i < len(order); i++ {
 		a, b := order[i-1], order[i]
--- a/internal/host/claim.go
+++ b/internal/host/claim.go
@@ -168,6 +168,7 @@
 	h.spawn(func() { h.followMachines(ownerCtx) })
 	h.spawn(func() { h.followJobs(ownerCtx, watchFrom) })
 	h.spawn(func() { h.followSpeeds(ownerCtx, revision) })
+	h.spawn(func() { h.sweepTombstones(ownerCtx, revision) })
 	h.spawn(func() { h.writeLivenessMarkers(ownerCtx, revision) })
 	h.spawn(func() { h.handOverToBetterHost(ownerCtx) })
 	return nil
--- a/internal/host/heldlog.go
+++ b/internal/host/heldlog.go
@@ -78,7 +78,7 @@
 	}
 	cause, since := hold.StoreAway, time.Since(h.store.LastSuccess())
 	switch {
-	case errs.Is(err, errHoldFull), errs.Is(err, errCellFull):
+	case errs.Is(err, errHoldFull), errs.Is(err, errCellFull), errs.Is(err, errTombstoneLimit):
 		cause = hold.BoundReached
 	case h.Tables() == nil:
 		cause, since = hold.NoConfiguration, time.Since(h.started)
--- a/internal/host/hold.go
+++ b/internal/host/hold.go
@@ -42,8 +42,7 @@
 	held    bool // has waited for the store
 	since   time.Time
 	outcome chan heldOutcome // of the current wait or write
-	key     string
-	value   []byte
+	write   *jobWrite
 }
 
 // heldOutcome ends a call's wait for the store or its write.
@@ -309,20 +308,17 @@
 	return err
 }
 
-// storeJob writes a job on the condition that its key does not exist. Jobs that were held
+// storeJob writes a job. After a conflict found has the job or its tombstone. Jobs that were held
 // are written together.
-func (h *Host) storeJob(ctx context.Context, call *Call, key string, value []byte) (found []kvstore.Item, err error) {
+func (h *Host) storeJob(ctx context.Context, call *Call, write *jobWrite) (found []kvstore.Item, err error) {
 	if !call.held {
-		_, found, err = h.store.Write(ctx, kvstore.Txn{
-			Expected: []kvstore.Condition{{Key: key}},
-			Puts:     []kvstore.Put{{Key: key, Value: value}},
-		})
+		_, found, err = h.store.Write(ctx, kvstore.Txn{Expected: write.conditions(), Puts: []kvstore.Put{write.put()}})
 		return found, err
 	}
 	b := &h.holding
 	b.mu.Lock()
-	call.key, call.value = key, value
-	call.entry.Key, call.entry.Size = key, len(key)+len(value)
+	call.write = write
+	call.entry.Key, call.entry.Size = write.key, write.size()
 	call.outcome = make(chan heldOutcome, 1)
 	b.queue.Ready(&call.entry)
 	if !b.flushing {
@@ -381,23 +377,23 @@
 }
 
 // writeHeld writes jobs in one transaction. If a condition does not hold, the jobs that are
-// stored already are reported as such, and the others are written anew.
+// stored already or have a tombstone are reported as such, and the others are written anew.
 func (h *Host) writeHeld(batch []*Call) {
 	var txn kvstore.Txn
 	for _, call := range batch {
-		txn.Expected = append(txn.Expected, kvstore.Condition{Key: call.key})
-		txn.Puts = append(txn.Puts, kvstore.Put{Key: call.key, Value: call.value})
+		txn.Expected = append(txn.Expected, call.write.conditions()...)
+		txn.Puts = append(txn.Puts, call.write.put())
 	}
 	h.stats.set.GetOrCreateCounter("turmericspread_held_writes_total").Inc()
 	_, found, err := h.store.Write(h.runCtx, txn)
-	stored := map[string]kvstore.Item{}
+	existing := map[string]kvstore.Item{} // jobs and tombstones
 	if errs.Is(err, kvstore.ErrConflict) {
 		for _, item := range found {
 			if item.Revision > 0 {
-				stored[item.Key] = item
+				existing[item.Key] = item
 			}
 		}
-		if len(stored) == 0 {
+		if len(existing) == 0 {
 			err = kvstore.ErrRefused
 		}
 	}
@@ -405,12 +401,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, call := range batch {
-		item, ok := stored[call.key]
+		item, ok := existing[call.write.key]
+		if !ok {
+			item, ok = existing[call.write.tombstone]
+		}
 		switch {
 		case ok:
 			b.queue.Written(&call.entry)
 			call.outcome <- heldOutcome{err: kvstore.ErrConflict, found: []kvstore.Item{item}}
-		case len(stored) > 0:
+		case len(existing) > 0:
 			b.queue.Ready(&call.entry)
 		default:
 			b.queue.Written(&call.entry)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -115,8 +115,9 @@
 
 	loadingUntil atomic.Int64 // on the boot clock: end of the time granted for loading the cell; 0: not loading
 
-	running atomic.Bool // Run has begun
-	holding holder
+	running    atomic.Bool // Run has begun
+	holding    holder
+	tombstones tombstoneBudget
 
 	refreshMu   sync.Mutex
 	refreshDone chan struct{} // closed when the refresh of the configuration in progress has ended
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -115,12 +115,32 @@
 // Cancel stores the cancellation of a job. It returns ErrNoJob if the team has
 // no such job, ErrNotRun if the cancellation was not stored and never will be, and
 // ErrUnknown if the store has not confirmed it before ctx ends.
+//
+// Before it returns ErrNoJob for a job that is not stored, it stores a tombstone: an earlier
+// submission may have sent a write of the job that the store has yet to execute.
 func (h *Host) Cancel(ctx context.Context, id, team string, call *Call) (err error) {
+	var tombstone int64 // revision
+	counted := false    // in the budget of tombstones
 	for {
 		_, jobTeam, err := h.State(ctx, id)
 		switch {
 		case errs.Is(err, ErrNoJob):
-			return err
+			if !counted && !h.tombstones.take(team, bootClock(), len(h.view.Load().members)) {
+				h.countTombstone("limited")
+				return errTombstoneLimit
+			}
+			counted = true
+			if tombstone, err = h.writeTombstone(ctx, id, team, tombstone); err == nil {
+				return ErrNoJob
+			}
+			if errs.Is(err, kvstore.ErrConflict) && ctx.Err() == nil {
+				continue // the job was stored meanwhile, or the account has cancelled it before
+			}
+			if again := h.awaitAgain(ctx, call, err); again != nil {
+				event.CancelFailed.Log(h.Log).Str("job", id).Bool("sent", errs.Is(again, ErrUnknown)).Err(err).Send()
+				return again
+			}
+			continue
 		case err == nil && jobTeam != team:
 			return ErrNoJob
 		case err != nil:
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -45,20 +47,26 @@
 		}
 		return err
 	}
-	key := jobPrefix + job.ID
+	write := &jobWrite{key: jobPrefix + job.ID, tombstone: tombstoneKey(job.ID, job.Team), value: value}
 	for {
-		found, err := h.storeJob(ctx, call, key, value)
+		found, err := h.storeJob(ctx, call, write)
 		switch {
 		case err == nil:
 			event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Str("team", job.Team).
 				Dur("took", wallClock()-job.Accepted).Int64("config", h.tablesVersion()).Dur("config-age", h.TablesAge()).Send()
 			h.notifyOfJob(job, value, occupied)
 			return nil
-		case errs.Is(err, kvstore.ErrConflict):
+		case errs.Is(err, kvstore.ErrConflict) && revisionOf(found, write.key, 0) > 0:
 			occupied.free()
 			event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Bool("again", true).Send()
 			h.notifyStored(found)
 			return nil
+		case errs.Is(err, kvstore.ErrConflict) && revisionOf(found, write.tombstone, 0) > 0:
+			if err = h.storeCancelled(ctx, write); err == nil || errs.Is(err, kvstore.ErrConflict) {
+				occupied.free()
+				event.JobStored.Log(h.Log).Str("job", job.ID).Str("queue", job.Queue).Bool("cancelled", true).Send()
+				return nil
+			}
 		}
 		if again := h.awaitAgain(ctx, call, err); again != nil {
 			if errs.Is(again, ErrUnknown) {
@@ -88,6 +96,7 @@
 
 // notifyStored notifies the owner of a job that was stored by an earlier call.
 func (h *Host) notifyStored(found []kvstore.Item) {
+	found = slices.DeleteFunc(slices.Clone(found), func(item kvstore.Item) bool { return !strings.HasPrefix(item.Key, jobPrefix) })
 	if len(found) == 0 || len(found[0].Value) == 0 {
 		return
 	}
