cell: apply a cancellation that arrives before its job

Callers would see: a job starts although its cancellation was answered 200.

Cause: hosts notify the owner of a job and of its cancellation independently. Owner.Cancel dropped the cancellation of a job that it did not know and answered that it was processed. If the host that stored the job had ended before its notification and the submission was repeated elsewhere, the owner learned of the job alone. Only its watch corrects that, which takes up to 5.4 s if its connection is silent.

Change: the owner keeps the cancellation of an unknown job for 30 s, at most 4,096 of them, and applies it when it accepts the job. If there is no room, it does not answer as the owner, and the notification is repeated. The order of the two no longer matters, so the fix does not depend on the watch.

--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -212,6 +212,10 @@
 	event.CellJobAccepted.Log(o.Log).Str("job", spec.ID).Str("queue", spec.Queue).Str("team", spec.Team).
 		Int("tasks", len(j.tasks)).Bool("excess", j.overRate).
 		Bool("lasting", slices.ContainsFunc(j.steps, func(s *step) bool { return s.spec.LongRunning })).Send()
+	if _, ok := o.earlyCancels[spec.ID]; ok {
+		delete(o.earlyCancels, spec.ID)
+		o.Cancel(spec.ID)
+	}
 }
 
 // applyTeamRate takes a token from the bucket of the job's team and marks the job if
@@ -242,16 +246,39 @@
 	o.passDue = true
 }
 
-// Cancel stops a job whose cancellation is in the store.
-func (o *Owner) Cancel(id string) {
+// Cancel stops a job whose cancellation is in the store. A job that is not known yet is stopped
+// when it is accepted, because hosts notify the owner of a job and of its cancellation
+// independently. It returns false if too many cancellations wait for their jobs.
+func (o *Owner) Cancel(id string) (recorded bool) {
 	j, ok := o.jobs[id]
-	if !ok || j.cancelled || j.state.Terminal() {
-		return
+	if !ok {
+		return o.recordEarlyCancel(id)
+	}
+	if j.cancelled || j.state.Terminal() {
+		return true
 	}
 	j.cancelled = true
 	event.CellJobCancelled.Log(o.Log).Str("job", id).Str("state", string(j.state)).Send()
 	o.stopJobRuns(j, "cancelled")
 	o.endJob(j, work.StateCancelled)
+	return true
+}
+
+const (
+	// earlyCancelMemory is how long a cancellation waits for its job. The watch on jobs, which
+	// finds both, may have been silent for some seconds.
+	earlyCancelMemory = 30 * time.Second
+	// maxEarlyCancels bounds them, at some 100 bytes each.
+	maxEarlyCancels = 4096
+)
+
+// recordEarlyCancel records the cancellation of a job that is not known yet.
+func (o *Owner) recordEarlyCancel(id string) (recorded bool) {
+	if _, ok := o.earlyCancels[id]; !ok && len(o.earlyCancels) >= maxEarlyCancels {
+		return false
+	}
+	o.earlyCancels[id] = o.Now()
+	return true
 }
 
 // stopJobRuns stops all runs of a job.
@@ -351,6 +378,7 @@
 	}
 	o.nextDelete = now + deleteInterval
 	maps.DeleteFunc(o.deleted, func(_ string, d deletedJob) bool { return now-d.at > deletedMemory })
+	maps.DeleteFunc(o.earlyCancels, func(_ string, at time.Duration) bool { return now-at > earlyCancelMemory })
 	for _, j := range o.jobs {
 		o.dropDetails(j)
 	}
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -159,15 +159,16 @@
 	sweep                int // number of the current sweep: one or more passes over all waiting steps
 	nextScan             time.Duration
 	nextDelete           time.Duration
-	deleting             bool                  // a deletion of old records is in flight
-	deleted              map[string]deletedJob // recently, by ID
-	queueTables          *work.Tables          // from which the jobs took their queues
-	runTimeRatios        runningMeans          // measured run time over the estimate, by queue
-	speeds               map[string]*poolSpeed // learned speeds of the workers, by pool
-	allowedFractions     runningMeans          // fraction of the queried workers that the adviser allows, by queue
-	longestRatios        runningMeans          // run time of the longest task of a step over its estimate, by queue
-	longestSpreads       runningMeans          // mean deviation of these ratios, by queue
-	meanWork             runningMeans          // core-seconds of a job, by queue
+	deleting             bool                     // a deletion of old records is in flight
+	deleted              map[string]deletedJob    // recently, by ID
+	earlyCancels         map[string]time.Duration // by ID: local time of cancellations that came before their jobs
+	queueTables          *work.Tables             // from which the jobs took their queues
+	runTimeRatios        runningMeans             // measured run time over the estimate, by queue
+	speeds               map[string]*poolSpeed    // learned speeds of the workers, by pool
+	allowedFractions     runningMeans             // fraction of the queried workers that the adviser allows, by queue
+	longestRatios        runningMeans             // run time of the longest task of a step over its estimate, by queue
+	longestSpreads       runningMeans             // mean deviation of these ratios, by queue
+	meanWork             runningMeans             // core-seconds of a job, by queue
 	arrivals             map[arrivalKey]*arrivalRate
 	shortages            map[string]shortage // of pools, by service
 	lastForecast         forecast
@@ -212,6 +213,7 @@
 		tokenBuckets:     map[string]*sched.TokenBucket{},
 		dirty:            map[*job]bool{},
 		deleted:          map[string]deletedJob{},
+		earlyCancels:     map[string]time.Duration{},
 		unrecorded:       map[*job]int64{},
 		removedFences:    map[string]int64{},
 		waves:            map[string]*wave{},
--- a/internal/host/calls.go
+++ b/internal/host/calls.go
@@ -299,12 +299,11 @@
 }
 
 // cancelLocally passes a stored cancellation to the cell's owner if it runs on
-// this host.
-func (h *Host) cancelLocally(id string) (owner bool) {
-	if h.cellOwner == nil {
+// this host. It reports whether the owner has recorded it.
+func (h *Host) cancelLocally(id string) (recorded bool) {
+	if h.cellOwner == nil || !h.cellOwner.Cancel(id) {
 		return false
 	}
-	h.cellOwner.Cancel(id)
 	h.cellOwner.Tick()
 	return true
 }
