host: apply a job and its cancellation from two pages together

Callers would see: a job that was cancelled long ago starts after the owner has listed the jobs again.

Cause: after a failed watch relistJobs applied each page at once. The cancellation of a job that is the last item of a page is on the next one, which a slow store returns 250 ms later; a start takes some 10 ms.

Change: the last item of a page is applied with the next page. The key of a cancellation directly follows that of its job, so the two are never applied apart.

Result: the test passes in 3 of 3 runs.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -257,15 +257,22 @@
 	}
 }
 
-// relistJobs reads all jobs again, because a failed watch may have missed some.
+// relistJobs reads all jobs again, because a failed watch may have missed some. The last item of
+// a page is applied with the next one: if it is a job, its cancellation may be there.
 func (h *Host) relistJobs(ctx context.Context, after int64) (next int64) {
+	var last []kvstore.Item
 	revision, err := h.store.ListPages(ctx, jobPrefix, func(page []kvstore.Item) error {
-		h.applyJobItems(page)
+		if len(page) == 0 {
+			return nil
+		}
+		h.applyJobItems(append(last, page[:len(page)-1]...))
+		last = []kvstore.Item{page[len(page)-1]}
 		return nil
 	})
 	if err != nil {
 		return after
 	}
+	h.applyJobItems(last)
 	return revision
 }
 
