cell: keep the end of a job that was cancelled afterwards over a takeover

Callers would see: a job shown as completed is shown as cancelled by the next owner.

Cause: Owner.Cancel ignores a job that has ended, but its cancellation stays in the store, and restoreJob set cancelled whatever the recorded state was. visibleState looks at that first.

--- a/internal/cell/cancel_test.go
+++ b/internal/cell/cancel_test.go
@@ -30,3 +30,20 @@
 	s.run(s.now + earlyCancelMemory + 2*time.Second)
 	assert.Equal(t, len(s.owner.earlyCancels), 0)
 }
+
+// TestCancelledAfterItsEnd guards against a job that is shown as completed and, after a takeover, as
+// cancelled, because its cancellation was stored after its end.
+func TestCancelledAfterItsEnd(t *testing.T) {
+	s := newSim(t, 1, 4)
+	s.claim()
+	s.submit("a", newStep(4, time.Second))
+	s.run(3 * time.Second)
+	s.assertState("a", work.StateCompleted)
+	s.cancel("a")
+	s.run(s.now + time.Second)
+	s.assertState("a", work.StateCompleted)
+	s.owner.kill()
+	s.claim()
+	s.run(s.now + time.Second)
+	s.assertState("a", work.StateCompleted)
+}
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -54,7 +54,7 @@
 	}
 	j := newJob(st.Job)
 	j.revision = st.Revision
-	j.cancelled, j.restored = st.Cancelled, true
+	j.restored = true
 	if p := st.Progress; p != nil {
 		j.started = p.Started
 		j.policy = cmp.Or(p.Policy, j.policy)
@@ -67,7 +67,9 @@
 	for _, s := range j.steps {
 		s.restoreCounts()
 	}
-	if j.cancelled && !j.state.Terminal() {
+	if st.Cancelled && !j.state.Terminal() {
+		// A cancellation after the end of a job has no effect.
+		j.cancelled = true
 		j.state = work.StateCancelled
 		j.endedAt = o.WallClock()
 		o.markDirty(j)
