--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,8 +84,8 @@
 	// PeerConnections bounds the connections and messages of other hosts. If it is nil,
 	// they are unbounded.
 	PeerConnections *connlimit.Group
-	// WriteMetrics, if set, writes further metrics.
-	WriteMetrics func(w io.Writer)
+	// MetricsWriters write further metrics.
+	MetricsWriters []func(w io.Writer)
 	// ListMachines reads the platform's list of machines, and OrderUpkeep orders the upkeep
 	// of one of them; nil: the platform has none.
 	ListMachines func(ctx context.Context) ([]work.Machine, error)
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -19,8 +19,8 @@
 		h.stats.set.WritePrometheus(&page)
 		h.writeTables(&page)
 		h.writeOwner(ctx, &page)
-		if h.WriteMetrics != nil {
-			h.WriteMetrics(&page)
+		for _, write := range h.MetricsWriters {
+			write(&page)
 		}
 		metrics.WriteProcessMetrics(&page)
 		c.Data(200, "text/plain; charset=utf-8", page.Bytes())
