halfopen: keep calls off pooled connections that have gone silent

Cause: each renewal of the lease took the next idle connection of the pool, up to eight of them, and waited 0.5 s for an answer. Nothing kept calls off the others after one got no answer. The lease of 6 s lapsed first.

Change: each peer has two pools of connections. After a call without an answer the other pool is current, so the next call takes a new connection. If that is answered, the idle connections of the former pool are closed, to this peer only, and busy ones when they are idle. If not, the peer is slow and the former pool is current again. That tells a silent connection from a slow peer by a comparison instead of one time-out, so the first retry gets through and a slow peer keeps its connections. Streams to carriers have connections of their own, and a carrier is lost after three overdue responses without any in between. The client of the older program's minions closes its idle connections, because its connections are bounded.

--- a/internal/carrier/carrier_test.go
+++ b/internal/carrier/carrier_test.go
@@ -232,6 +232,30 @@
 	assert.Assert(t, h.client.Available("c-1"))
 }
 
+// TestSilentCarrierIsLost guards against a carrier that is kept for ever although its connection
+// has gone silent, because its responses become overdue one at a time.
+func TestSilentCarrierIsLost(t *testing.T) {
+	h := newHarness(t)
+	silent := false
+	h.serve("c-1", Targets{Stop: func(context.Context, work.Worker, work.RunRequest) (work.RunResponse, error) {
+		if silent {
+			time.Sleep(time.Hour)
+		}
+		return work.RunResponse{}, nil
+	}})
+	first := h.send("c-1", stopRequest())
+	h.runUntil(t, func() bool { return first.received })
+	silent = true
+	for range 3 {
+		assert.Assert(t, h.client.Available("c-1"))
+		h.send("c-1", stopRequest())
+		h.now += time.Second + responseMargin
+		h.client.Expire()
+	}
+	assert.Assert(t, !h.client.Available("c-1"))
+	assert.DeepEqual(t, h.lostCarriers, []string{"c-1"})
+}
+
 // TestLeavingCarrier checks that a carrier that is shutting down rejects
 // requests without executing them.
 func TestLeavingCarrier(t *testing.T) {
--- a/internal/carrier/client.go
+++ b/internal/carrier/client.go
@@ -61,6 +61,7 @@
 	cancel  context.CancelFunc
 	pending map[uint64]pendingCall
 	outbox  *outbox[Request]
+	overdue int // calls without a response in time since the last response
 }
 
 // pendingCall is a request that has no response yet.
@@ -126,6 +127,7 @@
 // handleResponses completes the calls that the responses belong to. A carrier
 // that rejects a request because it is shutting down enters its cooldown.
 func (c *Client) handleResponses(conn *connection, responses []Response) {
+	conn.overdue = 0
 	for _, response := range responses {
 		if call, ok := conn.pending[response.Number]; ok {
 			delete(conn.pending, response.Number)
@@ -157,9 +159,10 @@
 // Expire ends calls that have no response in time. It must be called
 // periodically. If several responses of one carrier are overdue at the same
 // time, the carrier counts as lost, because workers usually become unresponsive
-// one at a time.
+// one at a time. So does one from which nothing arrives while as many become overdue
+// one after the other: its connection may have gone silent, and the next one is new.
 func (c *Client) Expire() {
-	const lostAfter = 3 // overdue responses in one check
+	const lostAfter = 3 // overdue responses in one check, or since the last response
 	now := c.Now()
 	if now < c.nextExpiry {
 		return
@@ -173,7 +176,8 @@
 				delete(conn.pending, number)
 			}
 		}
-		if len(overdue) >= lostAfter {
+		conn.overdue += len(overdue)
+		if conn.overdue >= lostAfter || len(overdue) >= lostAfter {
 			conn.cancel()
 			c.fail(conn, ErrNoResponse)
 		}
--- a/internal/minion/minion.go
+++ b/internal/minion/minion.go
@@ -30,6 +30,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/halfopen"
 )
 
 // Error is the class of all errors of this package.
@@ -114,8 +116,11 @@
 // IsUnsent is false, the minion may have run the request.
 func (c *Client) Do(ctx context.Context, request Request) (answer Answer, err error) {
 	defer Error.WrapP(&err)
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var connected, reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		reused.Store(info.Reused)
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.baseURL+"/serve/"+url.PathEscape(request.Route), onceReader(request.Body))
 	if err != nil {
@@ -129,6 +134,11 @@
 		if !connected.Load() {
 			return Answer{}, ErrUnsent.Wrap(err)
 		}
+		if reused.Load() && halfopen.Unanswered(ctx, err) {
+			// The open connections may all have gone silent. Package halfopen would need twice the
+			// connections that the minion accepts.
+			c.Close()
+		}
 		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -12,11 +12,15 @@
 //
 // A call that fails with ErrUnreachable was not sent. After any other error the
 // peer may have processed the call. A connection is closed instead of reused
-// unless its last exchange ended cleanly.
+// unless its last exchange ended cleanly, and calls are kept off connections that
+// have gone silent, as package halfopen describes. A stream has a connection of its
+// own.
 package peer
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -30,6 +34,8 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
+
+	"turmericspread.org/turmericspread/internal/halfopen"
 )
 
 // Error is the class of all errors of this package.
@@ -114,8 +120,18 @@
 	// Dial opens a connection; tests replace it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 
-	pool  *drpcpool.Pool[string, *drpcconn.Conn]
-	calls atomic.Int64
+	pool       *drpcpool.Pool[poolKey, *drpcconn.Conn]
+	peers      halfopen.Peers
+	calls      atomic.Int64
+	opened     atomic.Int64
+	unanswered atomic.Int64
+	silent     atomic.Int64
+}
+
+// poolKey names one of the pools of connections to a peer.
+type poolKey struct {
+	address string
+	pool    int // as counted by halfopen.Peers
 }
 
 // NewClient returns a Client that dials TCP.
@@ -125,7 +141,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address)
 		},
-		pool: drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{
+		pool: drpcpool.New[poolKey, *drpcconn.Conn](drpcpool.Options{
 			Expiration:  idleTimeout,
 			KeyCapacity: maxIdlePerPeer,
 		}),
@@ -138,12 +154,20 @@
 // Close closes all idle connections.
 func (c *Client) Close() (err error) { return Error.Wrap(c.pool.Close()) }
 
-// dial opens a connection for the pool.
+// WriteMetrics writes the metrics of the connections.
+func (c *Client) WriteMetrics(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "turmericspread_connections_opened_total{to=\"hosts\"} %d\n", c.opened.Load())
+	_, _ = fmt.Fprintf(w, "turmericspread_connections_silent_total{to=\"hosts\"} %d\n", c.silent.Load())
+	_, _ = fmt.Fprintf(w, "turmericspread_calls_unanswered_total{to=\"hosts\"} %d\n", c.unanswered.Load())
+}
+
+// dial opens a connection.
 func (c *Client) dial(ctx context.Context, address string) (conn *drpcconn.Conn, err error) {
 	transport, err := c.Dial(ctx, address)
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err)
 	}
+	c.opened.Add(1)
 	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
@@ -155,9 +179,37 @@
 		return nil, ErrUnreachable.Wrap(err)
 	}
 	out = new(Out)
-	conn := c.pool.Get(ctx, address, c.dial)
-	if err := conn.Invoke(ctx, rpc, encoding{}, in, out); err != nil {
+	if err := c.invoke(ctx, address, rpc, in, out); err != nil {
 		return nil, err
 	}
 	return out, nil
 }
+
+// invoke makes a call on a connection of the peer's current pool.
+func (c *Client) invoke(ctx context.Context, address, rpc string, in, out any) (err error) {
+	key := poolKey{address, c.peers.Current(address)}
+	conn := c.pool.Get(ctx, key, func(ctx context.Context, key poolKey) (*drpcconn.Conn, error) { return c.dial(ctx, key.address) })
+	err = conn.Invoke(ctx, rpc, encoding{}, in, out)
+	switch {
+	case halfopen.Unanswered(ctx, err):
+		c.unanswered.Add(1)
+		c.peers.Missed(address, key.pool)
+	case err == nil && c.peers.Answered(address, key.pool), err == nil && c.peers.Superseded(address, key.pool):
+		c.closeSuperseded(address)
+	}
+	return err
+}
+
+// closeSuperseded closes the idle connections to a peer that are not of its current pool.
+func (c *Client) closeSuperseded(address string) {
+	for pool := range halfopen.Pools {
+		for c.peers.Superseded(address, pool) {
+			conn, ok := c.pool.Take(poolKey{address, pool})
+			if !ok {
+				break
+			}
+			c.silent.Add(1)
+			_ = conn.Close()
+		}
+	}
+}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 
+	"github.com/zeebo/errs"
 	"storj.io/drpc"
 )
 
@@ -10,18 +12,24 @@
 // goroutine may send while another receives.
 type Stream[Out, In any] struct {
 	stream  drpc.Stream
-	release func() // ends the reservation for the message received last
+	conn    io.Closer // set on the side that has opened the stream
+	release func()    // ends the reservation for the message received last
 }
 
-// Open opens a stream of the call named rpc. The stream ends with ctx.
+// Open opens a stream of the call named rpc, on a new connection. The stream ends with ctx and
+// must be closed.
 func Open[Out, In any](ctx context.Context, c *Client, address, rpc string) (s *Stream[Out, In], err error) {
 	defer Error.WrapP(&err)
 	c.calls.Add(1)
-	stream, err := c.pool.Get(ctx, address, c.dial).NewStream(ctx, rpc, encoding{})
+	conn, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &Stream[Out, In]{stream: stream, release: func() {}}, nil
+	stream, err := conn.NewStream(ctx, rpc, encoding{})
+	if err != nil {
+		return nil, errs.Combine(err, conn.Close())
+	}
+	return &Stream[Out, In]{stream: stream, conn: conn, release: func() {}}, nil
 }
 
 // HandleStream registers fn for streams of the call named rpc. The stream ends
@@ -53,4 +61,10 @@
 }
 
 // Close ends the stream.
-func (s *Stream[Out, In]) Close() (err error) { return Error.Wrap(s.stream.Close()) }
+func (s *Stream[Out, In]) Close() (err error) {
+	err = s.stream.Close()
+	if s.conn != nil {
+		err = errs.Combine(err, s.conn.Close())
+	}
+	return Error.Wrap(err)
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,12 +24,15 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"turmericspread.org/turmericspread/internal/halfopen"
 )
 
 // Error is the class of all errors of this package.
@@ -72,8 +75,10 @@
 // New returns a Client of the service at address. The timeout bounds each call. A
 // watch may additionally take as long as it waits for changes.
 func New(address string, timeout time.Duration) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
-	httpClient := &http.Client{Transport: transport}
+	dialer := &net.Dialer{}
+	httpClient := &http.Client{Transport: halfopen.NewTransport(dialer.DialContext, func(dial halfopen.Dial) *http.Transport {
+		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
+	})}
 	return &Client{Do: httpClient.Do, baseURL: "http://" + address, timeout: timeout}
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -27,12 +27,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/zeebo/errs"
 
+	"turmericspread.org/turmericspread/internal/halfopen"
 	"turmericspread.org/turmericspread/internal/resource"
 )
 
@@ -126,8 +128,10 @@
 
 // New returns a Client.
 func New() *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 16, IdleConnTimeout: time.Minute}
-	httpClient := &http.Client{Transport: transport}
+	dialer := &net.Dialer{}
+	httpClient := &http.Client{Transport: halfopen.NewTransport(dialer.DialContext, func(dial halfopen.Dial) *http.Transport {
+		return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, MaxConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	})}
 	return &Client{Do: httpClient.Do}
 }
 
