cell: count jobs as begun only once a worker runs them

Cause: job.started was set when a start was planned and stayed when the start was withdrawn: refused, not sent for want of a usable worker or a fresh list, or withheld without the store. The pending count, the visible state, the record and the rank went by it, so a successor showed the same, and such a job came first in its priority.

Change: a job has begun once a worker has confirmed, listed or ended one of its runs. The pending count goes by that alone; the state is running also while a start that was sent is not settled. The rank takes a job for started while it has begun or has a run. So no withdrawal has to undo anything. The record has the new field Begun; Started of earlier builds, which also means a planned start, is written for them and no longer read. Tests that looked at job.started go by whether a start was ever planned, which is what it said.

--- a/internal/cell/advice_test.go
+++ b/internal/cell/advice_test.go
@@ -82,7 +82,7 @@
 			s.submit("a", newStep(2, 500*time.Millisecond))
 			s.run(delay)
 			j := s.owner.jobs["a"]
-			assert.Assert(t, !j.started)
+			assert.Assert(t, !planned(j))
 			assert.Assert(t, j.steps[0].waitReason != ReasonNone)
 			// What the adviser has said of a step does not change, so another owner asks anew.
 			recovered = true
@@ -156,7 +156,7 @@
 	}
 	s.submit("a", newStep(1, 500*time.Millisecond))
 	s.run(2 * time.Second)
-	assert.Assert(t, !s.owner.jobs["a"].started)
+	assert.Assert(t, !planned(s.owner.jobs["a"]))
 	s.run(10 * time.Second)
 	s.assertState("a", work.StateCompleted)
 	assert.Assert(t, queries > 1, "the tickets of the first answer had expired")
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -27,6 +27,11 @@
 	}
 }
 
+// planned reports whether a start of one of the job's tasks was ever planned.
+func planned(j *job) bool {
+	return j.begun || slices.ContainsFunc(j.tasks, func(t *task) bool { return t.lastRun > 0 })
+}
+
 func TestStepsRunInOrder(t *testing.T) {
 	s := newSim(t, 1, 4)
 	s.claim()
--- a/internal/cell/gang_test.go
+++ b/internal/cell/gang_test.go
@@ -32,7 +32,7 @@
 	s.run(time.Second)
 	s.submit("gang", newGangStep(7, 2*time.Second))
 	s.run(3 * time.Second)
-	assert.Assert(t, !s.owner.jobs["gang"].started)
+	assert.Assert(t, !planned(s.owner.jobs["gang"]))
 	return s
 }
 
@@ -72,11 +72,11 @@
 			for i := range 400 {
 				s.submitLow(fmt.Sprintf("j%d", i), time.Second, takes.String())
 				s.run(s.now + 250*time.Millisecond)
-				if s.owner.jobs["gang"].started {
+				if planned(s.owner.jobs["gang"]) {
 					break
 				}
 			}
-			assert.Assert(t, s.owner.jobs["gang"].started, "the gang starts at all")
+			assert.Assert(t, planned(s.owner.jobs["gang"]), "the gang starts at all")
 			assert.Assert(t, s.now <= 41*time.Second+3*takes, "it starts at %s", s.now)
 		})
 	}
--- a/internal/cell/job.go
+++ b/internal/cell/job.go
@@ -19,7 +19,8 @@
 	steps     []*step      // of all occurrences
 	tasks     []*task      // by number
 	tasksLeft int          // tasks that are not done
-	started   bool
+	begun     bool         // a worker has confirmed, listed or ended a run of one of its tasks
+	runs      int          // of its tasks, in any state
 	cancelled bool
 	restored  bool // a former owner may have started its tasks
 	state     work.State
@@ -159,12 +160,23 @@
 			return work.StateRunning
 		}
 		return j.state
-	case j.started:
+	case j.begun || j.mayHaveBegun():
 		return work.StateRunning
 	}
 	return work.StateQueued
 }
 
+// started reports whether a task of the job has begun, or has a run that may still begin.
+func (j *job) started() bool { return j.begun || j.runs > 0 }
+
+// mayHaveBegun reports whether a start of one of the job's tasks is not confirmed and may have
+// been executed.
+func (j *job) mayHaveBegun() bool {
+	return j.runs > 0 && slices.ContainsFunc(j.tasks, func(t *task) bool {
+		return slices.ContainsFunc(t.runs, func(r *run) bool { return r.state != runPlanned })
+	})
+}
+
 // finished reports whether no further task of the job may be started.
 func (j *job) finished() bool { return j.cancelled || j.state.Terminal() }
 
--- a/internal/cell/owner.go
+++ b/internal/cell/owner.go
@@ -279,10 +279,11 @@
 	return j.visibleState(), j.spec.Team, true
 }
 
-// Pending returns the number of accepted jobs of a queue that have not started.
+// Pending returns the number of accepted jobs of a queue of which no task has begun. A start that
+// is not answered counts only once the worker has listed its run.
 func (o *Owner) Pending(queue string) (n int) {
 	for _, j := range o.active {
-		if j.spec.Queue == queue && !j.started && !j.state.Terminal() && !j.cancelled {
+		if j.spec.Queue == queue && !j.begun && !j.state.Terminal() && !j.cancelled {
 			n++
 		}
 	}
--- a/internal/cell/record.go
+++ b/internal/cell/record.go
@@ -148,7 +148,7 @@
 
 // progress returns the progress record of a job.
 func (o *Owner) progress(j *job) *work.Progress {
-	p := &work.Progress{Started: j.started, Epoch: o.Epoch, Version: j.version, Policy: j.storedPolicy()}
+	p := &work.Progress{Begun: j.begun, Started: j.started(), Epoch: o.Epoch, Version: j.version, Policy: j.storedPolicy()}
 	if j.state.Terminal() {
 		p.State, p.Ended = j.state, j.endedAt.Milliseconds()
 	}
--- a/internal/cell/renew.go
+++ b/internal/cell/renew.go
@@ -242,8 +242,8 @@
 	if r.state != runLive && r.state != runUncertain || r.liveSince == 0 {
 		r.state = runLive
 		r.liveSince = now
-		if !j.started {
-			j.started = true
+		if !j.begun {
+			j.begun = true
 			o.markDirty(j)
 		}
 	}
--- a/internal/cell/restore.go
+++ b/internal/cell/restore.go
@@ -25,7 +25,7 @@
 		return
 	}
 	st.Job = endedJob(st.Job)
-	st.Progress = &work.Progress{State: p.State, Ended: p.Ended, Started: p.Started}
+	st.Progress = &work.Progress{State: p.State, Ended: p.Ended, Begun: p.Begun}
 }
 
 // Restore applies the stored jobs. Call it before any other method.
@@ -56,7 +56,7 @@
 	j.revision = st.Revision
 	j.restored = true
 	if p := st.Progress; p != nil {
-		j.started = p.Started
+		j.begun = p.HasBegun()
 		j.policy = cmp.Or(p.Policy, j.policy)
 		j.state = p.State
 		j.endedAt = time.Duration(p.Ended) * time.Millisecond
--- a/internal/cell/run.go
+++ b/internal/cell/run.go
@@ -81,6 +81,7 @@
 	}
 	r.throttle = 100
 	r.task.runs = append(r.task.runs, r)
+	r.task.step.job.runs++
 	if len(r.task.runs) == 1 {
 		r.task.step.tasksRunning++
 	}
@@ -109,6 +110,7 @@
 	r.node.used = r.node.used.Sub(r.demand)
 	t := r.task
 	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
+	t.step.job.runs--
 	if len(t.runs) == 0 {
 		t.step.tasksRunning--
 		t.lastDetachedAt = o.Now()
@@ -129,7 +131,6 @@
 	j := t.step.job
 	r := &run{task: t, node: n, number: number, state: runPlanned, incarnation: n.incarnation, ticket: ticket}
 	o.attach(r)
-	j.started = true
 	o.markDirtyWithin(j, urgentSaveDelay)
 	r.version = j.version
 	if !o.StoreUp() && n.inDirectory && o.mayStartUnrecorded(o.Now()) {
@@ -289,6 +290,7 @@
 	switch {
 	case err == nil:
 		r.state = runLive
+		r.task.step.job.begun = true
 		r.resolvedAt, r.liveSince = now, now
 		n.recordClock(response.Clock, r.sentAt, now)
 		n.confirmedAt = max(n.confirmedAt, r.sentAt)
@@ -404,6 +406,7 @@
 		o.markDirty(j)
 	}
 	t.lastRun = max(t.lastRun, end.Run)
+	j.begun = true
 	switch end.Reason {
 	case work.EndDone:
 		o.Counters.RunsDone++
--- a/internal/cell/schedule.go
+++ b/internal/cell/schedule.go
@@ -268,14 +268,15 @@
 	return groups
 }
 
-// rank returns the rank of a step without its lateness. A job with scheduled
+// rank returns the rank of a step without its lateness. A job whose starts were all withdrawn is
+// ranked like one that was never started. A job with scheduled
 // occurrences never counts as started, because its first occurrence would count for
 // all later ones.
 func (o *Owner) rank(s *step) sched.Rank {
 	j := s.job
 	rank := sched.Rank{
 		Priority: j.policy.Priority,
-		Started:  j.started && j.spec.Times == 0,
+		Started:  j.started() && j.spec.Times == 0,
 		OverRate: j.overRate,
 		Deadline: o.deadline(j, s.occurrence),
 	}
--- a/internal/cell/wide_test.go
+++ b/internal/cell/wide_test.go
@@ -97,7 +97,7 @@
 			for s.now < loadEnd+30*time.Second {
 				s.run(s.now + poll)
 				for id, j := range s.owner.jobs {
-					if j.spec.Queue == "wide" && !j.started && s.hasAllowedFree(j) {
+					if j.spec.Queue == "wide" && !planned(j) && s.hasAllowedFree(j) {
 						idleWait[id] += poll
 					}
 				}
@@ -151,7 +151,7 @@
 			s.run(3 * time.Second)
 			s.submitTo("wide", "team", "wide", wideStep(1, wideRunTime))
 			s.run(s.now + wideQuery + s.owner.Bounds.StopTimeout + time.Second)
-			assert.Equal(t, s.owner.jobs["wide"].started, tc.preempts)
+			assert.Equal(t, planned(s.owner.jobs["wide"]), tc.preempts)
 			if tc.preempts {
 				assert.Equal(t, s.owner.Counters.Preempted, int64(accelerators), "only the tasks of one worker")
 			}
@@ -231,7 +231,7 @@
 	gang.Gang = true
 	s.submitTo("gang", "team", "batch", gang)
 	s.run(s.now + maxWait)
-	assert.Assert(t, s.owner.jobs["gang"].started, "a gang that needs most of an idle team's maximum waits")
+	assert.Assert(t, planned(s.owner.jobs["gang"]), "a gang that needs most of an idle team's maximum waits")
 }
 
 // TestNoReserveWithoutUrgentWork has jobs with ample time fill a pool that no queue of the
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -102,7 +102,7 @@
 		switch {
 		case progress.State != "":
 			return progress.State, job.Team, nil
-		case progress.Started:
+		case progress.HasBegun() || progress.MayRun():
 			state = work.StateRunning
 		}
 	}
--- a/internal/work/record.go
+++ b/internal/work/record.go
@@ -1,6 +1,8 @@
 package work
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -42,13 +44,29 @@
 
 // Progress is the stored state of a job. Only the owner of the cell writes it.
 type Progress struct {
-	State   State          `cbor:"1,keyasint,omitempty"` // set once the state is terminal
-	Ended   int64          `cbor:"2,keyasint,omitempty"` // Unix milliseconds
+	State State `cbor:"1,keyasint,omitempty"` // set once the state is terminal
+	Ended int64 `cbor:"2,keyasint,omitempty"` // Unix milliseconds
+	// Started is read only by hosts of earlier builds, which set it as soon as a start was
+	// planned. A job whose starts were all refused has not begun.
 	Started bool           `cbor:"3,keyasint,omitempty"`
 	Tasks   []TaskProgress `cbor:"4,keyasint,omitempty"`
 	Epoch   int64          `cbor:"5,keyasint,omitempty"` // epoch of the owner that wrote it
 	Version int64          `cbor:"6,keyasint,omitempty"` // increases with each write by the same owner
 	Policy  *Policy        `cbor:"7,keyasint,omitempty"` // last known policy; nil: that of the job
+	Begun   bool           `cbor:"8,keyasint,omitempty"` // a worker has confirmed a run; unset by earlier builds
+}
+
+// HasBegun reports whether a task of the job is known to have begun. Records of earlier builds
+// show it only by what a run has left.
+func (p *Progress) HasBegun() bool {
+	return p.Begun || slices.ContainsFunc(p.Tasks, func(t TaskProgress) bool {
+		return t.Done || len(t.Failed) > 0 || t.Checkpoint != ""
+	})
+}
+
+// MayRun reports whether a task of the job has a run, which may not be confirmed yet.
+func (p *Progress) MayRun() bool {
+	return slices.ContainsFunc(p.Tasks, func(t TaskProgress) bool { return len(t.Runs) > 0 })
 }
 
 // EncodeJob encodes a job for the store.
