host: split the cancellation of stored and of unknown jobs

Cause: read as a newcomer, Cancel mixed the two writes and their conflicts in one switch, and notifyStored filtered a copy of a list of at most two items. Change: storeCancellation and writeTombstone are the two writes, each with its own meaning of a conflict; no behaviour changes. Result: the tests of internal/host pass.

--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -119,42 +119,34 @@
 // Before it returns ErrNoJob for a job that is not stored, it stores a tombstone: an earlier
 // submission may have sent a write of the job that the store has yet to execute.
 func (h *Host) Cancel(ctx context.Context, id, team string, call *Call) (err error) {
-	var tombstone int64 // revision
+	var tombstone int64 // revision that is known; 0: none
 	counted := false    // in the budget of tombstones
 	for {
 		_, jobTeam, err := h.State(ctx, id)
+		unknown := errs.Is(err, ErrNoJob)
 		switch {
-		case errs.Is(err, ErrNoJob):
-			if !counted && !h.tombstones.take(team, bootClock(), len(h.view.Load().members)) {
+		case err == nil && jobTeam != team:
+			return ErrNoJob
+		case err != nil && !unknown:
+			// State has tried until ctx ended.
+			event.CancelFailed.Log(h.Log).Str("job", id).Err(err).Send()
+			return ErrUnknown
+		case unknown && !counted:
+			if !h.tombstones.take(team, bootClock(), h.Members()) {
 				h.countTombstone("limited")
 				return errTombstoneLimit
 			}
 			counted = true
-			if tombstone, err = h.writeTombstone(ctx, id, team, tombstone); err == nil {
+		}
+		if unknown {
+			tombstone, err = h.writeTombstone(ctx, id, team, tombstone)
+			switch {
+			case err == nil:
 				return ErrNoJob
-			}
-			if errs.Is(err, kvstore.ErrConflict) && ctx.Err() == nil {
+			case errs.Is(err, kvstore.ErrConflict) && ctx.Err() == nil:
 				continue // the job was stored meanwhile, or the account has cancelled it before
 			}
-			if again := h.awaitAgain(ctx, call, err); again != nil {
-				event.CancelFailed.Log(h.Log).Str("job", id).Bool("sent", errs.Is(again, ErrUnknown)).Err(err).Send()
-				return again
-			}
-			continue
-		case err == nil && jobTeam != team:
-			return ErrNoJob
-		case err != nil:
-			// State has tried until ctx ended.
-			event.CancelFailed.Log(h.Log).Str("job", id).Err(err).Send()
-			return ErrUnknown
-		}
-		_, _, err = h.store.Write(ctx, kvstore.Txn{
-			Expected: []kvstore.Condition{{Key: jobPrefix + id + cancelSuffix}},
-			Puts:     []kvstore.Put{{Key: jobPrefix + id + cancelSuffix, Value: []byte(h.instance)}},
-		})
-		if err == nil || errs.Is(err, kvstore.ErrConflict) {
-			event.CancelStored.Log(h.Log).Str("job", id).Str("team", team).Send()
-			h.notifyOwner(id, callCancel, &cancelRequest{ID: id}, func() bool { return h.cancelLocally(id) }, nil)
+		} else if err = h.storeCancellation(ctx, id, team); err == nil {
 			return nil
 		}
 		if again := h.awaitAgain(ctx, call, err); again != nil {
@@ -164,7 +156,23 @@
 	}
 }
 
-// Pending returns the number of accepted jobs of a queue that have not started.
+// storeCancellation stores the cancellation of a stored job and notifies the owner. It succeeds
+// if the job was cancelled before.
+func (h *Host) storeCancellation(ctx context.Context, id, team string) (err error) {
+	key := jobPrefix + id + cancelSuffix
+	_, _, err = h.store.Write(ctx, kvstore.Txn{
+		Expected: []kvstore.Condition{{Key: key}},
+		Puts:     []kvstore.Put{{Key: key, Value: []byte(h.instance)}},
+	})
+	if err != nil && !errs.Is(err, kvstore.ErrConflict) {
+		return err
+	}
+	event.CancelStored.Log(h.Log).Str("job", id).Str("team", team).Send()
+	h.notifyOwner(id, callCancel, &cancelRequest{ID: id}, func() bool { return h.cancelLocally(id) }, nil)
+	return nil
+}
+
+// Pending returns the number of accepted jobs of a queue of which no task has begun.
 // While the owner does not respond, it returns the last count for up to
 // maxPendingAge. It returns ErrUnknown if there is none before ctx ends.
 func (h *Host) Pending(ctx context.Context, queue string) (n int, err error) {
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -96,16 +96,17 @@
 
 // notifyStored notifies the owner of a job that was stored by an earlier call.
 func (h *Host) notifyStored(found []kvstore.Item) {
-	found = slices.DeleteFunc(slices.Clone(found), func(item kvstore.Item) bool { return !strings.HasPrefix(item.Key, jobPrefix) })
-	if len(found) == 0 || len(found[0].Value) == 0 {
+	at := slices.IndexFunc(found, func(item kvstore.Item) bool { return strings.HasPrefix(item.Key, jobPrefix) })
+	if at < 0 || len(found[at].Value) == 0 {
 		return
 	}
-	job, err := work.DecodeJob(found[0].Value)
+	item := found[at]
+	job, err := work.DecodeJob(item.Value)
 	if err != nil {
-		event.EntryMalformed.Log(h.Log).Str("key", found[0].Key).Err(err).Send()
+		event.EntryMalformed.Log(h.Log).Str("key", item.Key).Err(err).Send()
 		return
 	}
-	h.notifyOfJob(job, found[0].Value, &room{host: h})
+	h.notifyOfJob(job, item.Value, &room{host: h})
 }
 
 // notifyOfJob notifies the owner of a stored job. The room of the job stays occupied until the
--- a/internal/host/tombstone.go
+++ b/internal/host/tombstone.go
@@ -187,10 +187,12 @@
 			txn.Remove = append(txn.Remove, tombstone.Key)
 		}
 		_, _, err := h.store.Write(ctx, txn)
-		if err != nil && !errs.Is(err, kvstore.ErrConflict) {
+		switch {
+		case errs.Is(err, kvstore.ErrConflict):
+			// An account has cancelled one of the jobs again, or another host owns the cell.
+		case err != nil:
 			return
-		}
-		if err == nil {
+		default:
 			event.TombstonesRemoved.Log(h.Log).Int("removed", len(batch)).Int("left", len(items)-len(batch)).Send()
 		}
 	}
