host: log connections that were closed as silent

Result: the tests of halfopen, peer, carrier, host and event pass, halfopen and peer also with -race; the linter reports nothing.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -127,6 +127,7 @@
 	CallsHeld              = define(1174, zerolog.WarnLevel, "calls held until the store responds")
 	CallsReleased          = define(1175, zerolog.InfoLevel, "no call is held any more")
 	CallsTurnedAway        = define(1176, zerolog.WarnLevel, "held calls turned away")
+	ConnectionsSilent      = define(1177, zerolog.WarnLevel, "idle connections closed, others to the same peer had gone silent")
 	WaveOpened             = define(1180, zerolog.InfoLevel, "upkeep of machines requested")
 	WaveCompleted          = define(1181, zerolog.InfoLevel, "upkeep of the requested machines has begun")
 	WaveWithdrawn          = define(1182, zerolog.InfoLevel, "request for the upkeep of machines withdrawn")
--- a/internal/halfopen/transport.go
+++ b/internal/halfopen/transport.go
@@ -36,6 +36,15 @@
 	UnansweredNew    atomic.Int64 // calls without an answer, on new connections or without any
 }
 
+// CountUnanswered counts a call without an answer.
+func (c *Counters) CountUnanswered(reused bool) {
+	if reused {
+		c.UnansweredReused.Add(1)
+	} else {
+		c.UnansweredNew.Add(1)
+	}
+}
+
 // WriteMetrics writes the counters for the kind of peers that the connections lead to.
 func (c *Counters) WriteMetrics(w io.Writer, to string) {
 	_, _ = fmt.Fprintf(w, "turmericspread_connections_opened_total{to=%q} %d\n", to, c.Opened.Load())
@@ -166,11 +175,7 @@
 			t.closeIdle(address, pool)
 		}
 	case Unanswered(req.Context(), err):
-		if reused {
-			t.Counters.UnansweredReused.Add(1)
-		} else {
-			t.Counters.UnansweredNew.Add(1)
-		}
+		t.Counters.CountUnanswered(reused)
 		t.peers.Missed(address, pool)
 	}
 	return resp, err
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -184,6 +184,7 @@
 		cellReadRequested: make(chan struct{}, 1),
 		stats:             newStats(),
 	}
+	h.peers.OnSilent = func(address string, closed int) { h.LogSilent("hosts", address, closed) }
 	h.view.Store(&view{})
 	h.malformedWorkers.Store(&map[string]int64{})
 	h.SetSeeds(nil)
@@ -191,6 +192,18 @@
 	return h
 }
 
+// maxSilentLogs bounds the lines on silent connections in each second: those to all workers may go
+// silent at the same time.
+const maxSilentLogs = 20
+
+// LogSilent logs that idle connections to a peer of some kind were closed because others to it
+// had gone silent.
+func (h *Host) LogSilent(kind, address string, closed int) {
+	if h.stats.silentLogs.allow(time.Now(), maxSilentLogs) {
+		event.ConnectionsSilent.Log(h.Log).Str("to", kind).Str("address", address).Int("closed", closed).Send()
+	}
+}
+
 // Abort stops all work of the host immediately, like a crash.
 func (h *Host) Abort() { h.abort() }
 
--- a/internal/host/metrics.go
+++ b/internal/host/metrics.go
@@ -19,7 +19,7 @@
 		h.stats.set.WritePrometheus(&page)
 		h.writeTables(&page)
 		h.writeOwner(ctx, &page)
-		h.peers.WriteMetrics(&page)
+		h.peers.Counters.WriteMetrics(&page, "hosts")
 		for _, write := range h.MetricsWriters {
 			write(&page)
 		}
--- a/internal/host/stats.go
+++ b/internal/host/stats.go
@@ -14,6 +14,8 @@
 	set       *metrics.Set
 	// rejectionLogs bounds the lines on rejected jobs.
 	rejectionLogs rateBudget
+	// silentLogs bounds the lines on silent connections.
+	silentLogs rateBudget
 	// confirmations bounds the reads of the store that confirm a refusal.
 	confirmations rateBudget
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,8 +19,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -119,13 +117,15 @@
 type Client struct {
 	// Dial opens a connection; tests replace it.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
-
-	pool       *drpcpool.Pool[poolKey, *drpcconn.Conn]
-	peers      halfopen.Peers
-	calls      atomic.Int64
-	opened     atomic.Int64
-	unanswered atomic.Int64
-	silent     atomic.Int64
+	// OnSilent, if set, is called after idle connections to a peer were closed because others
+	// had gone silent.
+	OnSilent func(address string, closed int)
+	// Counters count connections and calls for the metrics.
+	Counters halfopen.Counters
+
+	pool  *drpcpool.Pool[poolKey, *drpcconn.Conn]
+	peers halfopen.Peers
+	calls atomic.Int64
 }
 
 // poolKey names one of the pools of connections to a peer.
@@ -154,20 +154,13 @@
 // Close closes all idle connections.
 func (c *Client) Close() (err error) { return Error.Wrap(c.pool.Close()) }
 
-// WriteMetrics writes the metrics of the connections.
-func (c *Client) WriteMetrics(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "turmericspread_connections_opened_total{to=\"hosts\"} %d\n", c.opened.Load())
-	_, _ = fmt.Fprintf(w, "turmericspread_connections_silent_total{to=\"hosts\"} %d\n", c.silent.Load())
-	_, _ = fmt.Fprintf(w, "turmericspread_calls_unanswered_total{to=\"hosts\"} %d\n", c.unanswered.Load())
-}
-
 // dial opens a connection.
 func (c *Client) dial(ctx context.Context, address string) (conn *drpcconn.Conn, err error) {
 	transport, err := c.Dial(ctx, address)
 	if err != nil {
 		return nil, ErrUnreachable.Wrap(err)
 	}
-	c.opened.Add(1)
+	c.Counters.Opened.Add(1)
 	return drpcconn.NewWithOptions(transport, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
@@ -187,12 +180,15 @@
 
 // invoke makes a call on a connection of the peer's current pool.
 func (c *Client) invoke(ctx context.Context, address, rpc string, in, out any) (err error) {
-	key := poolKey{address, c.peers.Current(address)}
-	conn := c.pool.Get(ctx, key, func(ctx context.Context, key poolKey) (*drpcconn.Conn, error) { return c.dial(ctx, key.address) })
+	key, reused := poolKey{address, c.peers.Current(address)}, true
+	conn := c.pool.Get(ctx, key, func(ctx context.Context, key poolKey) (*drpcconn.Conn, error) {
+		reused = false
+		return c.dial(ctx, key.address)
+	})
 	err = conn.Invoke(ctx, rpc, encoding{}, in, out)
 	switch {
 	case halfopen.Unanswered(ctx, err):
-		c.unanswered.Add(1)
+		c.Counters.CountUnanswered(reused)
 		c.peers.Missed(address, key.pool)
 	case err == nil && c.peers.Answered(address, key.pool), err == nil && c.peers.Superseded(address, key.pool):
 		c.closeSuperseded(address)
@@ -202,14 +198,19 @@
 
 // closeSuperseded closes the idle connections to a peer that are not of its current pool.
 func (c *Client) closeSuperseded(address string) {
+	closed := 0
 	for pool := range halfopen.Pools {
 		for c.peers.Superseded(address, pool) {
 			conn, ok := c.pool.Take(poolKey{address, pool})
 			if !ok {
 				break
 			}
-			c.silent.Add(1)
+			closed++
 			_ = conn.Close()
 		}
 	}
+	c.Counters.Silent.Add(int64(closed))
+	if closed > 0 && c.OnSilent != nil {
+		c.OnSilent(address, closed)
+	}
 }
